--- /dev/null
+++ b/birchstack/decide.py
@@ -0,0 +1,564 @@
+"""All decisions of one sender.
+
+Make a Sender(settings, seed, host) and hand it what happens by its public methods (the Events protocol
+of interface.py); end each group of events at one time with turn(now). It acts by calling the host (the
+Host protocol, same file). Times are milliseconds. The design and its exceptions: docs/design.md.
+
+Reading order: Sender._deliver is the ordinary path of a document. Sender._transmit and Sender._finish
+are the only places that send and answer; every rule is guarded there. Sender._fill picks what goes
+where. Route holds what was learnt of a destination's limit, Endpoint what was learnt of one endpoint.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from bisect import insort
+from collections import deque
+from collections.abc import Generator
+
+from birchstack import interface as our
+from birchstack.interface import BINDING, CANCELLED, CONNECT_FAILED, FULL, NUMBERED, OK, READY, UNSENT
+
+TOKENS, TOKEN_PER_TRANSMISSION = 10.0, 0.1     # the bucket that pays for repeats
+PAUSE_MS, LONGEST_PAUSE_MS = 100.0, 2000.0     # full jitter
+NEVER_RAN = (FULL, CONNECT_FAILED, UNSENT)     # outcomes that prove that the document had no effect
+LEAST_PATIENCE_MS = 2000.0                     # no time-out below this: destinations pause and stall
+PATIENCE = 8.0                                 # a time-out is this many usual answer times
+STREAK = 3                                     # failures in a row that make an endpoint ill
+ILL_SHARE = 0.5                                # or this share of recent calls failing
+DOUBT_SHARE = 0.25                             # share of calls in doubt above which binding ones wait
+SLOW = 3.0                                     # answers this many times slower than usual: slow
+TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
+PACE_CUT, PACE_STEP = 0.8, 0.05                # the pace under a limit: cut on refusal, step per served call
+LEAST_PACE = 0.5                               # calls a second
+CALL_MS = 100.0                                # a call takes this long at least, until one was seen
+BUCKET_MS, BUCKETS = 1000.0, 8                 # the ring in which served calls are counted
+
+
+class Ring:
+    """Counts per fixed bucket of time, used again in a ring."""
+
+    def __init__(self) -> None:
+        self._counts, self._at = [0] * BUCKETS, 0
+
+    def _turn(self, now: float) -> None:
+        bucket = int(now // BUCKET_MS)
+        for step in range(max(self._at + 1, bucket - BUCKETS + 1), bucket + 1):
+            self._counts[step % BUCKETS] = 0
+        self._at = max(bucket, self._at)
+
+    def add(self, now: float) -> None:
+        self._turn(now)
+        self._counts[self._at % BUCKETS] += 1
+
+    def rate(self, now: float) -> float:
+        """Calls a second over the ring."""
+        self._turn(now)
+        return sum(self._counts) * 1000.0 / (BUCKETS * BUCKET_MS)
+
+
+class Endpoint:
+    """One endpoint: its calls out and its health."""
+
+    def __init__(self, name: str, zone: str) -> None:
+        self.name, self.zone, self.state = name, zone, READY
+        self.out = 0                    # calls out
+        self.places: float | None = None  # connections it seems to allow, once one was denied
+        self.streak = 0                 # failures in a row
+        self.failing = self.doubtful = 0.0  # moving shares of calls failed, and of calls left in doubt
+        self.ill = False
+        self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
+        self.served = Ring()
+        self.before = 0.0               # calls a second served before the trouble
+        self.back_at: float | None = None  # when it answered again after an outage
+        self.credit, self.credit_at = 1.0, 0.0
+        self.joined = 0                 # documents in the call made in this turn
+
+    def slow(self) -> bool:
+        return self.recent_ms > SLOW * self.usual_ms
+
+
+class Route:
+    """What shares a limit, told waits and outages: a destination, or one endpoint where routes are apart."""
+
+    def __init__(self, per_call: int) -> None:
+        self.endpoints: list[Endpoint] = []
+        self.per_call = per_call
+        self.wait_until = 0.0
+        self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
+        self.pace: float | None = None  # calls a second, once a limit was met
+        self.limit = 0.0                # the destination's own word on it
+        self.credit, self.credit_at = 1.0, 0.0
+        self.served = Ring()
+
+    def ready_at(self, now: float) -> float:
+        """When the pace allows the next call."""
+        if self.pace is None:
+            return now
+        gained = (now - self.credit_at) * self.pace / 1000.0
+        self.credit = min(max(1.0, self.pace * 0.5), self.credit + gained)
+        self.credit_at = now
+        return now if self.credit >= 0.999 else now + (1.0 - self.credit) * 1000.0 / self.pace
+
+
+class Destination:
+    """One destination: its line of documents, the bucket for repeats and the window."""
+
+    def __init__(self, number: int, slots: int) -> None:
+        self.number = number
+        self.routes: list[Route] = []
+        self.line: list[Document] = []
+        self.tokens = TOKENS
+        self.half, self.top = max(1, slots // 2), max(1, slots * 3 // 4)
+        self.window = float(self.half)
+        self.out = 0                    # calls out
+        self.turn = 0                   # for taking endpoints in turn
+
+    def endpoints(self) -> list[Endpoint]:
+        return [ep for route in self.routes for ep in route.endpoints if ep.state == READY]
+
+    def troubled(self) -> bool:
+        return any(ep.ill or ep.slow() for ep in self.endpoints())
+
+
+class Document:
+    """A document that this sender holds."""
+
+    def __init__(self, doc_id: str, kind: our.DocumentType, destination: Destination, now: float,
+                 left_ms: float, order: int) -> None:
+        self.id, self.kind, self.destination, self.order = doc_id, kind, destination, order
+        self.expiry = now + left_ms
+        self.taken = self.expiry - kind.expiry_ms   # when the client first handed it in
+        self.ready_at = now             # end of its pause
+        self.sent = self.repeats = 0    # transmissions, and those that the bucket paid for
+        self.out: tuple[Route, Endpoint, float, bool] | None = None  # the transmission out
+        self.doubt: list[tuple[float, str]] = []    # transmissions that may have run: time and zone
+        self.over = False
+        self.keyline: Keyline | None = None
+        self.path: Generator | None = None
+
+    def __lt__(self, other: Document) -> bool:
+        return self.order < other.order
+
+    def worth(self, now: float, halving: bool) -> float:
+        """Share of its value that it would earn if transmitted now."""
+        kind = self.kind
+        late = now - self.taken - kind.agreed_ms
+        if late <= 0:
+            return 1.0
+        if halving:
+            return max(kind.late_share, 0.5 ** (late / kind.agreed_ms))
+        span = max(kind.expiry_ms - kind.agreed_ms, 1.0)
+        return 1.0 - (1.0 - kind.late_share) * min(1.0, late / span)
+
+
+class Keyline:
+    """Documents of one key, in the order taken; one at a time, with a rest after doubt."""
+
+    def __init__(self) -> None:
+        self.docs: deque[Document] = deque()
+        self.rest_until, self.rested_by = 0.0, None
+
+    def allows(self, doc: Document, now: float) -> bool:
+        while self.docs and self.docs[0].over and self.docs[0].out is None:
+            self.docs.popleft()
+        return self.docs[0] is doc and (now >= self.rest_until or self.rested_by is doc)
+
+
+class Sender:
+    """Decides for one sender. See the head of this file."""
+
+    def __init__(self, settings: our.Settings, seed: int, host: our.Host) -> None:
+        self._set, self._host = settings, host
+        self._types = {kind.name: kind for kind in settings.types}
+        self._draw = random.Random(seed).uniform
+        self._destinations: dict[int, Destination] = {}
+        self._endpoints: dict[str, tuple[Route, Endpoint]] = {}
+        self._held: dict[str, Document] = {}
+        self._flying: dict[str, Document] = {}      # ended, with a transmission still out
+        self._keys: dict[str, Keyline] = {}
+        self._ends: list[tuple[float, int, Document]] = []
+        self._order = self._out = 0
+        self._alarm = float("inf")
+        self._joined: list[Endpoint] = []
+        if settings.list_on_request:
+            host.subscribe()
+
+    # Events
+
+    def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
+        """The list, or changes to it."""
+        if mode == our.FAILED:
+            self._host.subscribe()
+            return
+        named = {entry.name for entry in entries}
+        if mode != our.CHANGES:
+            for name, (_, ep) in self._endpoints.items():
+                if name not in named:
+                    ep.state = our.GONE
+        for entry in entries:
+            if entry.name not in self._endpoints:
+                if entry.state == our.GONE:
+                    continue
+                self._join(now, entry)
+            self._endpoints[entry.name][1].state = entry.state
+
+    def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
+                 key: str | None) -> None:
+        """A new document."""
+        self._order += 1
+        dest = self._destination(destination)
+        doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order)
+        if key is not None and doc.kind.in_order:
+            doc.keyline = self._keys.setdefault(key, Keyline())
+            doc.keyline.docs.append(doc)
+        self._held[doc_id] = doc
+        doc.path = self._deliver(doc)
+        self._resume(now, doc, None)
+
+    def outcome(self, now: float, doc_id: str, endpoint: str, outcome: our.Outcome) -> None:
+        """How a transmission ended."""
+        doc = self._held.get(doc_id) or self._flying.get(doc_id)
+        if doc is None or doc.out is None or outcome.number != doc.sent - 1:
+            return
+        route, ep, sent_at, counted = doc.out
+        doc.out = None
+        self._flying.pop(doc_id, None)
+        if counted:
+            self._out -= 1
+            ep.out -= 1
+            doc.destination.out -= 1
+        if outcome.kind not in NEVER_RAN and outcome.kind != OK:
+            doc.doubt.append((sent_at, ep.zone))
+            if doc.keyline:
+                doc.keyline.rest_until, doc.keyline.rested_by = now + self._set.key_rest_ms, doc
+        if outcome.wait_ms > 0:
+            route.wait_until = max(route.wait_until, now + outcome.wait_ms)
+        self._learn(now, doc.destination, route, ep, outcome)
+        if doc.over:
+            return
+        if outcome.over:
+            self._end(doc)
+        else:
+            self._resume(now, doc, outcome)
+
+    def withdrawn(self, now: float, doc_id: str) -> None:
+        """The client gave the document up."""
+        doc = self._held.get(doc_id)
+        if doc:
+            self._end(doc)
+
+    def turn(self, now: float) -> None:
+        """Ends the events of one time: gives up what is out of reach, then fills the places that are free."""
+        if now >= self._alarm:
+            self._alarm = float("inf")
+        while self._ends and (self._ends[0][2].over or self._ends[0][0] <= now):
+            doc = heapq.heappop(self._ends)[2]
+            if not doc.over and doc.out is None:
+                doc.destination.line.remove(doc)
+                self._resume(now, doc, None)
+        self._make_room(now)
+        self._fill(now)
+        if self._ends:
+            self._wake(now, self._ends[0][0])
+
+    # The ordinary path
+
+    def _deliver(self, doc: Document) -> Generator:
+        """One document from its taking to its answer. Yields a pause, then where to send it."""
+        pause = 0.0
+        while doc.sent < self._set.max_transmissions:
+            place = yield pause                     # in line, until a place comes free
+            if place is None:                       # the time left no longer covers a call
+                break
+            outcome = yield place
+            if outcome.kind == CANCELLED or not self._repeatable(doc):
+                break
+            if outcome.kind == UNSENT:              # it never left: no evidence, no repeat
+                pause = PAUSE_MS
+                continue
+            pause = self._draw(0.0, min(LONGEST_PAUSE_MS, PAUSE_MS * 2.0 ** doc.repeats))
+            doc.repeats += 1
+            if outcome.wait_ms > 0:                 # a told wait replaces the draw and holds the line
+                pause = 0.0
+        self._finish(doc)
+
+    def _resume(self, now: float, doc: Document, word: object) -> None:
+        """Lets a document go on until it waits again."""
+        try:
+            wish = doc.path.send(word)
+        except StopIteration:
+            return
+        if isinstance(wish, float):
+            doc.ready_at = now + wish
+            insort(doc.destination.line, doc)
+            heapq.heappush(self._ends, (self._last_call(doc), doc.order, doc))
+        else:
+            self._transmit(now, doc, *wish)
+
+    # The two doors: everything sent and everything answered passes here, with the rules on guard
+
+    def _barred(self, now: float, doc: Document, route: Route, ep: Endpoint) -> bool:
+        """True if a rule forbids this transmission."""
+        if doc.over or doc.out or now >= doc.expiry or ep.state != READY or now < route.wait_until:
+            return True
+        if doc.keyline and not doc.keyline.allows(doc, now):
+            return True
+        if doc.doubt and doc.kind.effect == BINDING:
+            return True
+        if doc.doubt and doc.kind.effect == NUMBERED:
+            since, zone = doc.doubt[0]
+            return now >= since + doc.kind.window_ms or (doc.kind.one_zone and ep.zone != zone)
+        return False
+
+    def _transmit(self, now: float, doc: Document, route: Route, ep: Endpoint) -> None:
+        dest, joins = doc.destination, 0 < ep.joined < route.per_call
+        dest.turn = ep.number + 1
+        if doc.repeats:
+            dest.tokens -= 1.0
+        dest.tokens = min(TOKENS, dest.tokens + TOKEN_PER_TRANSMISSION)
+        if joins:
+            ep.joined += 1
+        else:
+            ep.joined = 1
+            self._joined.append(ep)
+            self._out += 1
+            ep.out += 1
+            dest.out += 1
+            route.credit -= 1.0
+            ep.credit -= 1.0
+            if ep.ill:
+                route.trials_out += 1
+        doc.out, doc.sent = (route, ep, now, not joins), doc.sent + 1
+        self._host.transmit(doc.id, ep.name, min(self._patience(ep, doc), doc.expiry - now))
+
+    def _finish(self, doc: Document) -> None:
+        """The final answer: rejected if the client may safely come again, else abandoned."""
+        if doc.over:
+            return
+        bound = doc.kind.effect == BINDING or doc.kind.effect == NUMBERED and doc.kind.one_zone
+        if not (doc.doubt and bound):
+            self._host.reject(doc.id, self._set.retry_after_ms)
+        else:
+            self._host.abandon(doc.id)
+        self._end(doc)
+
+    def _end(self, doc: Document) -> None:
+        doc.over = True
+        del self._held[doc.id]
+        if doc.out:
+            self._flying[doc.id] = doc
+        elif doc in doc.destination.line:
+            doc.destination.line.remove(doc)
+
+    # Filling free places
+
+    def _fill(self, now: float) -> None:
+        """Work waits in line; while slots are free the best document that has a place goes."""
+        best: dict[int, tuple] = {}
+        waiting = [dest for dest in self._destinations.values() if dest.line]
+        for dest in waiting:
+            self._look(now, dest, best)
+        while best:
+            number = max(best, key=lambda key: best[key][0])
+            _, doc, route, ep = best.pop(number)
+            dest = doc.destination
+            dest.line.remove(doc)
+            self._resume(now, doc, (route, ep))
+            if dest.line:
+                self._look(now, dest, best)
+        for ep in self._joined:
+            ep.joined = 0
+        self._joined.clear()
+
+    def _look(self, now: float, dest: Destination, best: dict[int, tuple]) -> None:
+        """Finds the best document of one line that has a place."""
+        places = self._places(now, dest)
+        if not places:
+            return
+        found = None
+        for doc in dest.line:
+            if doc.ready_at > now:
+                self._wake(now, doc.ready_at)
+                continue
+            if doc.keyline and doc.keyline.rest_until > now:
+                self._wake(now, doc.keyline.rest_until)
+            if doc.repeats and dest.tokens < 1.0:
+                continue
+            rank = doc.worth(now, self._set.halving) * doc.kind.value ** 0.5
+            if found and rank <= found[0]:
+                continue
+            for route, ep in places:
+                # a hasty try in doubtful times may lose a binding document for good: let others try first
+                if not (doc.kind.effect == BINDING and ep.doubtful > DOUBT_SHARE) \
+                        and not self._barred(now, doc, route, ep):
+                    found = rank, doc, route, ep
+                    break
+        if found:
+            best[dest.number] = found
+
+    def _places(self, now: float, dest: Destination) -> list[tuple[Route, Endpoint]]:
+        """The free places at this destination, best first."""
+        joinable = [(route, ep) for route in dest.routes for ep in route.endpoints
+                    if 0 < ep.joined < route.per_call]
+        if joinable and not joinable[0][1].ill:
+            return joinable
+        if self._out >= self._set.slots:
+            return []
+        window = min(dest.window, dest.half) if dest.troubled() else dest.window
+        if dest.out >= int(window):
+            return []
+        if dest.troubled() and sum(d.out for d in self._destinations.values() if d.troubled()) >= dest.half:
+            return []       # several sick destinations must not fill the slots together
+        places, trials = [], []
+        for route in dest.routes:
+            if now < route.wait_until:
+                self._wake(now, route.wait_until)
+                continue
+            ready_at = route.ready_at(now)
+            if ready_at > now:
+                self._wake(now, ready_at)
+                continue
+            for ep in route.endpoints:
+                if ep.state != READY or ep.places is not None and ep.out >= int(ep.places):
+                    continue
+                if ep.ill:
+                    trials.append((route, ep))
+                elif self._ramped(now, ep):
+                    places.append((ep.out, (ep.number - dest.turn) % 64, route, ep))
+        if places:
+            return [place[2:] for place in sorted(places, key=lambda place: place[:2])]
+        for route, _ in trials:
+            if not route.trials_out and now < route.trial_at:
+                self._wake(now, route.trial_at)
+        return [(route, ep) for route, ep in trials if not route.trials_out and now >= route.trial_at]
+
+    def _ramped(self, now: float, ep: Endpoint) -> bool:
+        """An endpoint that came back is cold: it gets what it took before, times its share of warmth."""
+        if ep.back_at is None:
+            return True
+        warm = (now - ep.back_at) / self._set.warm_up_ms
+        if warm >= 1.0:
+            ep.back_at = None
+            return True
+        share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
+        rate = max(LEAST_PACE, ep.before) * share
+        ep.credit = min(1.0, ep.credit + (now - ep.credit_at) * rate / 1000.0)
+        ep.credit_at = now
+        if ep.credit >= 0.999:
+            return True
+        self._wake(now, now + (1.0 - ep.credit) * 1000.0 / rate)
+        return False
+
+    def _make_room(self, now: float) -> None:
+        """Held documents are finite: the longest line gives up its least worthy one, to leave room."""
+        while len(self._held) >= self._set.max_held:
+            dest = max(self._destinations.values(), key=lambda each: (len(each.line), -each.number))
+            docs = [doc for doc in dest.line if not doc.doubt]
+            if not docs:
+                return
+            halving = self._set.halving
+            self._finish(min(docs, key=lambda doc: (doc.worth(now, halving) * doc.kind.value, doc.order)))
+
+    # What outcomes teach
+
+    def _learn(self, now: float, dest: Destination, route: Route, ep: Endpoint, outcome: our.Outcome) -> None:
+        kind = outcome.kind
+        if outcome.limit:
+            route.limit = outcome.limit
+        if kind in (UNSENT, CANCELLED):
+            return
+        if ep.ill and route.trials_out:
+            route.trials_out -= 1
+        if kind == OK:
+            self._served(now, dest, route, ep, outcome)
+            return
+        dest.window = max(1.0, dest.window / 2.0)
+        if kind == CONNECT_FAILED and ep.out > 0 and ep.streak == 0:
+            ep.places = float(max(1, ep.out))       # its connections are all taken: not an outage
+            return
+        if kind == FULL:
+            rate = route.served.rate(now)
+            if route.pace is None:
+                route.pace = max(LEAST_PACE, rate)
+            route.pace = max(LEAST_PACE, min(route.pace * PACE_CUT, max(rate, LEAST_PACE) * 1.5))
+        if ep.streak == 0 and not ep.ill and ep.back_at is None:
+            ep.before = ep.served.rate(now)
+        ep.streak += 1
+        ep.failing += 0.2 * (1.0 - ep.failing)
+        ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
+        sibling_ill = any(other.ill for other in route.endpoints)
+        if ep.ill:
+            route.trial_ms = min(LONGEST_TRIAL_MS, route.trial_ms * 2.0)
+            route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
+        elif ep.streak >= (1 if sibling_ill and kind != FULL else STREAK * (2 if kind == FULL else 1)) \
+                or ep.failing > ILL_SHARE and kind != FULL:
+            ep.ill, ep.back_at = True, None
+            route.trial_ms = TRIAL_MS
+            route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
+            self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {kind}")
+
+    def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, outcome: our.Outcome) -> None:
+        dest.window = min(float(dest.half if dest.troubled() else dest.top), dest.window + 1.0)
+        route.served.add(now)
+        ep.served.add(now)
+        ep.streak = 0
+        ep.failing *= 0.8
+        ep.doubtful *= 0.8
+        ms = outcome.elapsed_ms
+        ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
+        ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
+        if ep.places is not None:
+            ep.places += 0.05
+        if route.pace is not None:
+            top = route.limit or route.pace * 2.0
+            route.pace = min(max(top, LEAST_PACE), route.pace + PACE_STEP * max(route.pace, 1.0))
+        if ep.ill:
+            route.trial_at, route.trial_ms = now, TRIAL_MS
+            if ep.failing <= ILL_SHARE:
+                ep.ill, ep.back_at, ep.credit, ep.credit_at = False, now, 0.0, now
+                self._host.log(f"destination {dest.number}: endpoint back, {ep.before:.1f} calls/s before")
+
+    # Small matters
+
+    def _repeatable(self, doc: Document) -> bool:
+        return not doc.doubt or doc.kind.effect != BINDING
+
+    def _patience(self, ep: Endpoint, doc: Document) -> float:
+        """Time-outs follow observed answer times; nothing seen yet: the agreed time."""
+        seen = max(ep.usual_ms, ep.recent_ms)
+        patience = max(LEAST_PATIENCE_MS, PATIENCE * seen if seen else doc.kind.agreed_ms)
+        return patience * 2.0 if doc.kind.effect == BINDING else patience
+
+    def _last_call(self, doc: Document) -> float:
+        """The last moment at which a transmission may still help."""
+        end = doc.expiry - CALL_MS
+        if doc.doubt and doc.kind.effect == NUMBERED:
+            end = min(end, doc.doubt[0][0] + doc.kind.window_ms)
+        return end
+
+    def _destination(self, number: int) -> Destination:
+        if number not in self._destinations:
+            self._destinations[number] = Destination(number, self._set.slots)
+        return self._destinations[number]
+
+    def _join(self, now: float, entry: our.Endpoint) -> None:
+        dest = self._destination(entry.destination)
+        if not dest.routes or self._set.routes_apart[entry.kind]:
+            route = Route(self._set.per_call[entry.kind])
+            if self._set.rates_listed and entry.rate > 0:
+                route.limit, route.pace = entry.rate, entry.rate
+            route.credit_at = now
+            dest.routes.append(route)
+        route = dest.routes[-1]
+        ep = Endpoint(entry.name, entry.zone)
+        ep.number = sum(len(each.endpoints) for each in dest.routes)
+        route.endpoints.append(ep)
+        self._endpoints[entry.name] = route, ep
+
+    def _wake(self, now: float, when: float) -> None:
+        """One alarm for all that waits."""
+        if when < self._alarm:
+            self._alarm = when
+            self._host.wake(max(0.0, when - now))
--- /dev/null
+++ b/birchstack/interface.py
@@ -0,0 +1,107 @@
+"""The types through which the decisions of decide.py and their host talk. Nothing is decided here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+REPLAYABLE, NUMBERED, BINDING = "replayable", "numbered", "binding"
+OK, ERROR, FULL, TIMEOUT = "ok", "error", "full", "timeout"
+CONNECT_FAILED, RESET, CANCELLED, UNSENT = "connect_failed", "reset", "cancelled", "unsent"
+OUTCOMES = (OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, UNSENT)
+GONE, READY, DRAINING = "gone", "ready", "draining"
+CHANGES, WHOLE, FAILED = "changes", "whole", "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentType:
+    """What one type of document asks for; times in milliseconds."""
+
+    name: str
+    effect: str
+    agreed_ms: float
+    expiry_ms: float
+    value: float
+    late_share: float
+    one_zone: bool
+    window_ms: float
+    in_order: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What one sender is told when it starts; lists by kind are in the order of the host's kinds."""
+
+    types: tuple[DocumentType, ...]
+    slots: int
+    max_held: int
+    max_transmissions: int
+    senders: int
+    per_call: tuple[int, ...]
+    routes_apart: tuple[bool, ...]
+    halving: bool
+    rates_listed: bool
+    list_on_request: bool
+    ask_every_ms: float
+    retry_after_ms: float
+    fall_multiple: float
+    fall_ms: float
+    cold_share: float
+    warm_up_ms: float
+    key_rest_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One line of the list of endpoints."""
+
+    name: str
+    destination: int
+    zone: str
+    kind: int
+    state: str
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How one transmission ended. room and limit are None where the destination told nothing."""
+
+    kind: str
+    number: int
+    elapsed_ms: float
+    over: bool
+    wait_ms: float = 0.0
+    room: float | None = None
+    limit: float | None = None
+
+
+class Host(Protocol):
+    """What a sender may ask for. Every call takes effect at the time of the turn that is being answered."""
+
+    def transmit(self, doc_id: str, endpoint: str, patience_ms: float) -> None: ...
+
+    def reject(self, doc_id: str, retry_after_ms: float) -> None: ...
+
+    def abandon(self, doc_id: str) -> None: ...
+
+    def wake(self, after_ms: float) -> None: ...
+
+    def subscribe(self) -> None: ...
+
+    def log(self, text: str) -> None: ...
+
+
+class Events(Protocol):
+    """What a host tells a sender. A turn is some events at one time, ended by one call of turn()."""
+
+    def endpoints(self, now: float, mode: str, entries: list[Endpoint]) -> None: ...
+
+    def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
+                 key: str | None) -> None: ...
+
+    def outcome(self, now: float, doc_id: str, endpoint: str, outcome: Outcome) -> None: ...
+
+    def withdrawn(self, now: float, doc_id: str) -> None: ...
+
+    def turn(self, now: float) -> None: ...
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,124 @@
+"""The six rules, each as a short story."""
+
+import pytest
+from fake import Story
+
+from birchstack import interface as our
+
+DOUBT = (our.ERROR, our.TIMEOUT, our.RESET)
+PROOF = (our.FULL, our.CONNECT_FAILED)
+
+
+@pytest.mark.parametrize("left", [0.0, 50.0])
+def test_no_time_left_is_answered_at_once(left):
+    story = Story()
+    story.take("d", left=left)
+    assert story.said == [("d", "rejected")] and not story.calls
+
+
+def test_a_document_without_an_endpoint_is_held_and_answered_before_its_expiry():
+    story = Story(endpoints=())
+    story.take("d", left=5000.0)
+    assert not story.said
+    story.at(5000.0)
+    assert story.said == [("d", "rejected")]
+
+
+@pytest.mark.parametrize("kind", DOUBT)
+def test_a_binding_document_in_doubt_is_abandoned_and_not_repeated(kind):
+    story = Story()
+    story.take("d", "pay")
+    story.ends("d", kind, 100)
+    story.at(19000.0)
+    assert story.tries("d") == 1 and story.said == [("d", "abandoned")]
+
+
+@pytest.mark.parametrize("kind", PROOF)
+def test_a_binding_document_that_never_ran_is_repeated(kind):
+    story = Story()
+    story.take("d", "pay")
+    story.ends("d", kind, 100)
+    story.at(3000.0)
+    assert story.tries("d") == 2
+
+
+@pytest.mark.parametrize("kind", ["sync", "order"])
+def test_cancelled_is_never_repeated(kind):
+    story = Story()
+    story.take("d", kind)
+    story.ends("d", our.CANCELLED, 100)
+    story.at(5000.0)
+    assert story.tries("d") == 1 and len(story.said) == 1
+
+
+def test_a_numbered_document_stays_in_its_window_and_zone():
+    story = Story(endpoints=("a1", "b1", "b2"))
+    story.take("d", "zoned")
+    zone = story.calls[0][1][0]
+    story.ends("d", our.RESET, 100)
+    story.at(4000.0)
+    assert {where[0] for _, where in story.calls} == {zone}
+    assert story.tries("d") == 2
+    story.ends("d", our.FULL, wait_ms=2000.0)
+    story.at(5200.0)
+    assert story.tries("d") == 2 and story.said == [("d", "abandoned")]
+
+
+@pytest.mark.parametrize("state", [our.DRAINING, our.GONE])
+def test_nothing_new_goes_to_an_endpoint_that_leaves(state):
+    story = Story()
+    story.listed(["a"], our.CHANGES, state)
+    story.take("d")
+    assert not story.calls
+    story.listed(["b"], our.CHANGES)
+    assert story.calls == [("d", "b")]
+
+
+def test_an_endpoint_missing_from_a_whole_list_is_gone_and_may_return():
+    story = Story(endpoints=("a", "b"))
+    story.listed(["b"])
+    story.take("d")
+    story.take("e")
+    assert {where for _, where in story.calls} == {"b"}
+    story.listed(["a"])
+    story.take("f")
+    assert story.calls[-1] == ("f", "a")
+
+
+def test_a_told_wait_holds_every_document_of_the_destination_and_the_longer_one_counts():
+    story = Story()
+    story.take("d")
+    story.take("e")
+    story.ends("d", our.FULL, 100, wait_ms=3000.0)
+    story.ends("e", our.FULL, 100, wait_ms=500.0)
+    story.take("f")
+    story.at(3099.0)
+    assert len(story.calls) == 2
+    story.at(5000.0)
+    assert len(story.calls) > 2
+
+
+def test_routes_apart_wait_apart():
+    story = Story(endpoints=("a", "b"), routes_apart=(True,))
+    story.take("d")
+    story.ends("d", our.FULL, 10, wait_ms=3000.0)
+    first = story.calls[0][1]
+    story.at(1000.0)
+    story.take("e")
+    assert len(story.calls) >= 2 and all(where != first for _, where in story.calls[1:])
+
+
+def test_documents_of_one_key_go_one_at_a_time_and_rest_after_doubt():
+    story = Story()
+    story.take("d", "turn", key="k")
+    story.take("e", "turn", key="k")
+    story.take("f", "turn", key="other")
+    assert [doc for doc, _ in story.calls] == ["d", "f"]
+    story.sender.withdrawn(story.now, "d")
+    story.at(200.0)
+    assert story.tries("e") == 0
+    story.ends("d", our.TIMEOUT, over=True)
+    story.at(1100.0)
+    assert story.tries("e") == 0
+    story.at(1300.0)
+    assert story.tries("e") == 1
