--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -472,7 +472,7 @@
         if ep.ill and route.trials_out:
             route.trials_out -= 1
         if kind == OK:
-            self._served(now, dest, route, ep, outcome)
+            self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
         dest.window = max(1.0, dest.window / 2.0)
         if kind == CONNECT_FAILED and ep.out > 0 and ep.streak == 0:
@@ -499,14 +499,13 @@
             route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
             self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {kind}")
 
-    def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, outcome: our.Outcome) -> None:
+    def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled() else dest.top), dest.window + 1.0)
         route.served.add(now)
         ep.served.add(now)
         ep.streak = 0
         ep.failing *= 0.8
         ep.doubtful *= 0.8
-        ms = outcome.elapsed_ms
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
         if ep.places is not None:
