--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -31,7 +31,8 @@
 SLOW = 3.0                                     # answers this many times slower than usual: slow
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
 PACE_CUT, PACE_STEP = 0.8, 0.05                # the pace under a limit: cut on refusal, step per served call
-LEAST_PACE = 0.5                               # calls a second
+LEAST_PACE = 1.0                               # calls a second
+CUT_EVERY_MS = 300.0                           # the pace is cut no more often
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
 BUCKET_MS, BUCKETS = 1000.0, 8                 # the ring in which served calls are counted
 
@@ -39,8 +40,9 @@
 class Ring:
     """Counts per fixed bucket of time, used again in a ring."""
 
-    def __init__(self) -> None:
-        self._counts, self._at = [0] * BUCKETS, 0
+    def __init__(self, now: float) -> None:
+        self._counts, self._start = [0] * BUCKETS, now
+        self._at = int(now // BUCKET_MS)
 
     def _turn(self, now: float) -> None:
         bucket = int(now // BUCKET_MS)
@@ -52,16 +54,18 @@
         self._turn(now)
         self._counts[self._at % BUCKETS] += 1
 
-    def rate(self, now: float) -> float:
-        """Calls a second over the ring."""
+    def rate(self, now: float, buckets: int = BUCKETS) -> float:
+        """Calls a second over the last buckets, the present one included."""
         self._turn(now)
-        return sum(self._counts) * 1000.0 / (BUCKETS * BUCKET_MS)
+        calls = sum(self._counts[(self._at - step) % BUCKETS] for step in range(buckets))
+        span = now - max(self._start, (self._at - buckets + 1) * BUCKET_MS)
+        return calls * 1000.0 / max(span, BUCKET_MS)
 
 
 class Endpoint:
     """One endpoint: its calls out and its health."""
 
-    def __init__(self, name: str, zone: str) -> None:
+    def __init__(self, name: str, zone: str, now: float) -> None:
         self.name, self.zone, self.state = name, zone, READY
         self.out = 0                    # calls out
         self.places: float | None = None  # connections it seems to allow, once one was denied
@@ -69,7 +73,7 @@
         self.failing = self.doubtful = 0.0  # moving shares of calls failed, and of calls left in doubt
         self.ill = False
         self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
-        self.served = Ring()
+        self.served = Ring(now)
         self.before = 0.0               # calls a second served before the trouble
         self.back_at: float | None = None  # when it answered again after an outage
         self.credit, self.credit_at = 1.0, 0.0
@@ -82,15 +86,15 @@
 class Route:
     """What shares a limit, told waits and outages: a destination, or one endpoint where routes are apart."""
 
-    def __init__(self, per_call: int) -> None:
+    def __init__(self, per_call: int, now: float) -> None:
         self.endpoints: list[Endpoint] = []
         self.per_call = per_call
         self.wait_until = 0.0
         self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
         self.pace: float | None = None  # calls a second, once a limit was met
         self.limit = 0.0                # the destination's own word on it
-        self.credit, self.credit_at = 1.0, 0.0
-        self.served = Ring()
+        self.credit, self.credit_at, self.cut_at = 1.0, now, now
+        self.served = Ring(now)
 
     def ready_at(self, now: float) -> float:
         """When the pace allows the next call."""
@@ -478,11 +482,11 @@
         if kind == CONNECT_FAILED and ep.out > 0 and ep.streak == 0:
             ep.places = float(max(1, ep.out))       # its connections are all taken: not an outage
             return
-        if kind == FULL:
-            rate = route.served.rate(now)
+        if kind == FULL and (route.pace is None or now >= route.cut_at):
             if route.pace is None:
-                route.pace = max(LEAST_PACE, rate)
-            route.pace = max(LEAST_PACE, min(route.pace * PACE_CUT, max(rate, LEAST_PACE) * 1.5))
+                route.pace = route.limit or max(route.served.rate(now), route.served.rate(now, 2))
+            route.pace = max(route.pace * PACE_CUT, LEAST_PACE, route.limit / self._set.senders / 2.0)
+            route.cut_at = now + CUT_EVERY_MS       # refusals of one moment are one sign
         if ep.streak == 0 and not ep.ill and ep.back_at is None:
             ep.before = ep.served.rate(now)
         ep.streak += 1
@@ -545,13 +549,12 @@
     def _join(self, now: float, entry: our.Endpoint) -> None:
         dest = self._destination(entry.destination)
         if not dest.routes or self._set.routes_apart[entry.kind]:
-            route = Route(self._set.per_call[entry.kind])
+            route = Route(self._set.per_call[entry.kind], now)
             if self._set.rates_listed and entry.rate > 0:
                 route.limit, route.pace = entry.rate, entry.rate
-            route.credit_at = now
             dest.routes.append(route)
         route = dest.routes[-1]
-        ep = Endpoint(entry.name, entry.zone)
+        ep = Endpoint(entry.name, entry.zone, now)
         ep.number = sum(len(each.endpoints) for each in dest.routes)
         route.endpoints.append(ep)
         self._endpoints[entry.name] = route, ep
