Check the slots again before each call of a turn

Cause: free slots were looked at once for all destinations of a turn; the calls beyond them came back unsent and used up the attempts of their documents.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -368,9 +368,9 @@
             number = max(best, key=lambda key: best[key][0])
             _, doc, route, ep = best.pop(number)
             dest = doc.destination
-            dest.line.remove(doc)
-            self._resume(now, doc, (route, ep))
-            if dest.line:
+            if self._out < self._set.slots or 0 < ep.joined < route.per_call:
+                dest.line.remove(doc)
+                self._resume(now, doc, (route, ep))
                 self._look(now, dest, best)
         for ep in self._joined:
             ep.joined = 0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -122,3 +122,13 @@
     assert story.tries("e") == 0
     story.at(1300.0)
     assert story.tries("e") == 1
+
+
+def test_calls_out_stay_within_the_slots_over_all_destinations():
+    story = Story(slots=4)
+    for number in range(2, 9):
+        story.listed([f"z{number}"], our.CHANGES, destination=number)
+    for number in range(2, 9):
+        story.sender.document(story.now, f"d{number}", number, "sync", 20000.0, None)
+    story.sender.turn(story.now)
+    assert len(story.calls) == 4
