Close connections that lay idle too long where their next calls are reset

Covers whatever forgets idle connections in silence; may cost handshakes where resets after idle time have another cause.

--- a/birchstack/adapter/settings.py
+++ b/birchstack/adapter/settings.py
@@ -22,7 +22,8 @@
     return Settings(
         types=tuple(_type(words) for words in config["services"]),
         slots=domain["callsOut"], max_held=limits["maxOpen"], max_transmissions=limits["sendCap"],
-        senders=config["nInstances"], per_call=tuple(domain.get("perCall") or [1] * kinds),
+        senders=config["nInstances"], calls_per_connection=limits.get("streamsPerConn") or 1,
+        per_call=tuple(domain.get("perCall") or [1] * kinds),
         routes_apart=tuple(domain.get("routesApart") or [False] * kinds),
         halving=domain.get("losesWorth") == "halving",
         rates_listed=config.get("weightSource") in ("nominal", "rough"),
--- a/birchstack/adapter/wire.py
+++ b/birchstack/adapter/wire.py
@@ -46,6 +46,9 @@
     def abandon(self, doc_id: str) -> None:
         self._act("respondError", txn=doc_id)
 
+    def close_idle(self, endpoint: str) -> None:
+        self._act("dropConns", endpoint=endpoint)
+
     def wake(self, after_ms: float) -> None:
         self._act("sleep", offsetMs=round(after_ms, 3), keyBack="turn")
 
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -34,6 +34,8 @@
 LEAST_PACE = 1.0                               # calls a second
 CUT_EVERY_MS = 300.0                           # the pace is cut no more often
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
+IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
+STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
 BUCKET_MS, BUCKETS = 1000.0, 8                 # the ring in which served calls are counted
 
 
@@ -62,12 +64,36 @@
         return calls * 1000.0 / max(span, BUCKET_MS)
 
 
+class Idle:
+    """Learns how long a connection may lie idle before something on the way resets its next call.
+
+    Guards against proxies, address translation and destinations that forget idle connections in silence.
+    Where resets after idle time have another cause, it costs handshakes for a while.
+    """
+
+    def __init__(self) -> None:
+        self._resets = [0.0] * len(IDLE_MS)         # moving share of calls reset, by idle time
+        self._until = [0.0] * len(IDLE_MS)
+
+    def learn(self, now: float, idle_ms: float, reset: bool) -> None:
+        at = sum(idle_ms >= bound for bound in IDLE_MS) - 1
+        if at >= 0:
+            self._resets[at] += 0.25 * (reset - self._resets[at])
+            if reset and self._resets[at] > STALE_SHARE:
+                self._until[at] = now + STALE_FOR_MS
+
+    def stale(self, now: float, idle_ms: float) -> bool:
+        return any(now < until and idle_ms >= bound
+                   for until, bound in zip(self._until, IDLE_MS, strict=True))
+
+
 class Endpoint:
     """One endpoint: its calls out and its health."""
 
     def __init__(self, name: str, zone: str, now: float) -> None:
         self.name, self.zone, self.state = name, zone, READY
         self.out = 0                    # calls out
+        self.idle: list[float] = []     # since when each idle connection lies idle
         self.places: float | None = None  # connections it seems to allow, once one was denied
         self.streak = 0                 # failures in a row
         self.failing = self.doubtful = 0.0  # moving shares of calls failed, and of calls left in doubt
@@ -137,6 +163,7 @@
         self.ready_at = now             # end of its pause
         self.sent = self.repeats = 0    # transmissions, and those that the bucket paid for
         self.out: tuple[Route, Endpoint, float, bool] | None = None  # the transmission out
+        self.idle_ms = 0.0              # how long its connection had been idle
         self.doubt: list[tuple[float, str]] = []    # transmissions that may have run: time and zone
         self.over = False
         self.keyline: Keyline | None = None
@@ -185,6 +212,7 @@
         self._ends: list[tuple[float, int, Document]] = []
         self._order = self._out = 0
         self._alarm = float("inf")
+        self._idle = Idle()
         self._joined: list[Endpoint] = []
         if settings.list_on_request:
             host.subscribe()
@@ -233,6 +261,10 @@
             self._out -= 1
             ep.out -= 1
             doc.destination.out -= 1
+            if outcome.kind in (OK, our.ERROR, FULL, our.RESET):
+                self._idle.learn(now, doc.idle_ms, outcome.kind == our.RESET)
+                if outcome.kind != our.RESET and ep.out % self._set.calls_per_connection == 0:
+                    ep.idle.append(now)
         if outcome.kind not in NEVER_RAN and outcome.kind != OK:
             doc.doubt.append((sent_at, ep.zone))
             if doc.keyline:
@@ -327,6 +359,11 @@
         else:
             ep.joined = 1
             self._joined.append(ep)
+            if ep.out % self._set.calls_per_connection == 0:    # it takes a connection
+                if ep.idle and self._idle.stale(now, now - ep.idle[0]):
+                    self._host.close_idle(ep.name)
+                    ep.idle.clear()
+                doc.idle_ms = now - ep.idle.pop() if ep.idle else 0.0
             self._out += 1
             ep.out += 1
             dest.out += 1
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -37,6 +37,7 @@
     max_held: int
     max_transmissions: int
     senders: int
+    calls_per_connection: int
     per_call: tuple[int, ...]
     routes_apart: tuple[bool, ...]
     halving: bool
@@ -85,6 +86,8 @@
 
     def abandon(self, doc_id: str) -> None: ...
 
+    def close_idle(self, endpoint: str) -> None: ...
+
     def wake(self, after_ms: float) -> None: ...
 
     def subscribe(self) -> None: ...
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -14,11 +14,12 @@
     """A host that writes down what the sender does; at() and the events move the clock in milliseconds."""
 
     def __init__(self, endpoints=("a",), **settings):
-        words = dict(types=TYPES, slots=8, max_held=50, max_transmissions=6, senders=2, per_call=(1,),
-                     routes_apart=(False,), halving=False, rates_listed=False, list_on_request=False,
+        words = dict(types=TYPES, slots=8, max_held=50, max_transmissions=6, senders=2,
+                     calls_per_connection=1, per_call=(1,), routes_apart=(False,),
+                     halving=False, rates_listed=False, list_on_request=False,
                      ask_every_ms=0.0, retry_after_ms=3000.0, fall_multiple=1.5, fall_ms=2000.0,
                      cold_share=0.3, warm_up_ms=10000.0, key_rest_ms=1000.0)
-        self.now, self.calls, self.said, self.alarms, self.logs = 0.0, [], [], [], []
+        self.now, self.calls, self.said, self.alarms, self.logs, self.closed = 0.0, [], [], [], [], []
         self.number = {}
         self.sender = Sender(our.Settings(**{**words, **settings}), 7, self)
         self.listed(endpoints)
@@ -33,6 +34,9 @@
     def abandon(self, doc_id):
         self.said.append((doc_id, "abandoned"))
 
+    def close_idle(self, endpoint):
+        self.closed.append(self.now)
+
     def wake(self, after_ms):
         self.alarms.append(self.now + after_ms)
 
