--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -524,8 +524,6 @@
                 route.pace = route.limit or max(route.served.rate(now), route.served.rate(now, 2))
             route.pace = max(route.pace * PACE_CUT, LEAST_PACE, route.limit / self._set.senders / 2.0)
             route.cut_at = now + CUT_EVERY_MS       # refusals of one moment are one sign
-        if ep.streak == 0 and not ep.ill and ep.back_at is None:
-            ep.before = ep.served.rate(now)
         ep.streak += 1
         ep.failing += 0.2 * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
@@ -544,6 +542,8 @@
         dest.window = min(float(dest.half if dest.troubled() else dest.top), dest.window + 1.0)
         route.served.add(now)
         ep.served.add(now)
+        if not ep.ill and ep.back_at is None:
+            ep.before = ep.served.rate(now)
         ep.streak = 0
         ep.failing *= 0.8
         ep.doubtful *= 0.8
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -12,7 +12,7 @@
     for number in range(6):
         doc = f"d{number}"
         story.take(doc)
-        if number % 2 and idle > 1000.0 and not story.closed:
+        if number and idle > 1000.0 and not story.closed:
             story.ends(doc, our.RESET, 30.0)
             story.at(story.now + 200.0)
         story.ends(doc, our.OK, 50.0)
