--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -32,6 +32,7 @@
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
 PACE_CUT, PACE_STEP = 0.8, 0.05                # the pace under a limit: cut on refusal, step per served call
 LEAST_PACE = 1.0                               # calls a second
+LITTLE_ROOM = 0.2                              # share of a limit left under which the pace is cut
 CUT_EVERY_MS = 300.0                           # the pace is cut no more often
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
@@ -118,7 +119,7 @@
         self.wait_until = 0.0
         self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
         self.pace: float | None = None  # calls a second, once a limit was met
-        self.limit = 0.0                # the destination's own word on it
+        self.limit, self.room_told = 0.0, False     # the destination's own word on it
         self.credit, self.credit_at, self.cut_at = 1.0, now, now
         self.served = Ring(now)
 
@@ -508,6 +509,8 @@
         kind = outcome.kind
         if outcome.limit:
             route.limit = outcome.limit
+            route.room_told = True
+            self._steer(now, route, outcome.room or 0.0)
         if kind in (UNSENT, CANCELLED):
             return
         if ep.ill and route.trials_out:
@@ -519,11 +522,11 @@
         if kind == CONNECT_FAILED and ep.out > 0 and ep.streak == 0:
             ep.places = float(max(1, ep.out))       # its connections are all taken: not an outage
             return
-        if kind == FULL and (route.pace is None or now >= route.cut_at):
+        if kind == FULL:
             if route.pace is None:
-                route.pace = route.limit or max(route.served.rate(now), route.served.rate(now, 2))
-            route.pace = max(route.pace * PACE_CUT, LEAST_PACE, route.limit / self._set.senders / 2.0)
-            route.cut_at = now + CUT_EVERY_MS       # refusals of one moment are one sign
+                route.pace = max(route.served.rate(now), route.served.rate(now, 2))
+            self._cut(now, route)
+            route.credit = min(route.credit, 0.0)   # the next call a full step later
         ep.streak += 1
         ep.failing += 0.2 * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
@@ -538,6 +541,20 @@
             route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
             self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {kind}")
 
+    def _steer(self, now: float, route: Route, room: float) -> None:
+        """Keeps the pace under a told limit that others share, by the room it tells."""
+        if route.pace is None:
+            route.pace = route.limit
+        if room < LITTLE_ROOM:
+            self._cut(now, route)
+        else:
+            route.pace = min(route.limit, route.pace + PACE_STEP * route.limit * room)
+
+    def _cut(self, now: float, route: Route) -> None:
+        if now >= route.cut_at:
+            route.pace = max(route.pace * PACE_CUT, LEAST_PACE, route.limit / self._set.senders / 2.0)
+            route.cut_at = now + CUT_EVERY_MS       # signs of one moment are one sign
+
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled() else dest.top), dest.window + 1.0)
         route.served.add(now)
@@ -551,7 +568,7 @@
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
         if ep.places is not None:
             ep.places += 0.05
-        if route.pace is not None:
+        if route.pace is not None and not route.room_told:
             top = route.limit or route.pace * 2.0
             route.pace = min(max(top, LEAST_PACE), route.pace + PACE_STEP * max(route.pace, 1.0))
         if ep.ill:
