Take refusals for an outage only when nothing was served for some seconds

Cause: six refusals in a row at a busy limit made the endpoint ill and left it one trial call at a time. Covers line-full answers too; a destination that shuts is noticed 3 s later.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -33,6 +33,7 @@
 PACE_CUT, PACE_STEP = 0.8, 0.05                # the pace under a limit: cut on refusal, step per served call
 LEAST_PACE = 1.0                               # calls a second
 LITTLE_ROOM = 0.2                              # share of a limit left under which the pace is cut
+SHUT_MS = 3000.0                               # refusing everything for so long: shut
 CUT_EVERY_MS = 300.0                           # the pace is cut no more often
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
@@ -96,7 +97,7 @@
         self.out = 0                    # calls out
         self.idle: list[float] = []     # since when each idle connection lies idle
         self.places: float | None = None  # connections it seems to allow, once one was denied
-        self.streak = 0                 # failures in a row
+        self.streak, self.ok_at = 0, now  # failures in a row; when it last served
         self.failing = self.doubtful = 0.0  # moving shares of calls failed, and of calls left in doubt
         self.ill = False
         self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
@@ -534,8 +535,9 @@
         if ep.ill:
             route.trial_ms = min(LONGEST_TRIAL_MS, route.trial_ms * 2.0)
             route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
-        elif ep.streak >= (1 if sibling_ill and kind != FULL else STREAK * (2 if kind == FULL else 1)) \
-                or ep.failing > ILL_SHARE and kind != FULL:
+        elif kind == FULL and (ep.streak < 2 * STREAK or now - ep.ok_at < SHUT_MS):
+            return                                  # over its limit, or its line is full: not an outage
+        elif ep.streak >= (1 if sibling_ill else STREAK) or ep.failing > ILL_SHARE:
             ep.ill, ep.back_at = True, None
             route.trial_ms = TRIAL_MS
             route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
@@ -561,7 +563,7 @@
         ep.served.add(now)
         if not ep.ill and ep.back_at is None:
             ep.before = ep.served.rate(now)
-        ep.streak = 0
+        ep.streak, ep.ok_at = 0, now
         ep.failing *= 0.8
         ep.doubtful *= 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -18,3 +18,15 @@
         story.ends(doc, our.OK, 50.0)
         story.at(story.now + idle)
     assert bool(story.closed) == closes
+
+
+def test_a_destination_over_its_limit_is_not_taken_for_shut():
+    story = Story()
+    story.take("d")
+    story.ends("d", our.OK, 50.0)
+    for number in range(7):
+        doc = f"d{number}"
+        story.take(doc)
+        story.ends(doc, our.FULL, 20.0)
+    story.at(story.now + 1500.0)
+    assert not story.logs and len(story.calls) > 8
