--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -21,7 +21,6 @@
 from birchstack.interface import BINDING, CANCELLED, CONNECT_FAILED, FULL, NUMBERED, OK, READY, UNSENT
 
 TOKENS, TOKEN_PER_TRANSMISSION = 10.0, 0.1     # the bucket that pays for repeats
-OVERDRAFT = 0.25                               # repeats for each first try that a serving destination gets
 PAUSE_MS, LONGEST_PAUSE_MS = 100.0, 2000.0     # full jitter
 NEVER_RAN = (FULL, CONNECT_FAILED, UNSENT)     # outcomes that prove that the document had no effect
 LEAST_PATIENCE_MS = 2000.0                     # no time-out below this: destinations pause and stall
@@ -138,12 +137,11 @@
 class Destination:
     """One destination: its line of documents, the bucket for repeats and the window."""
 
-    def __init__(self, number: int, slots: int, now: float) -> None:
+    def __init__(self, number: int, slots: int) -> None:
         self.number = number
         self.routes: list[Route] = []
         self.line: list[Document] = []
         self.tokens = TOKENS
-        self.firsts, self.repeats, self.serves = Ring(now), Ring(now), False
         self.half, self.top = max(1, slots // 2), max(1, slots * 3 // 4)
         self.window = float(self.half)
         self.out = 0                    # calls out
@@ -152,15 +150,6 @@
     def endpoints(self) -> list[Endpoint]:
         return [ep for route in self.routes for ep in route.endpoints if ep.state == READY]
 
-    def pays(self, now: float) -> bool:
-        """True if the bucket, or else an overdraft, pays for a repeat.
-
-        Guards against documents that wait for tokens in vain at a destination that serves: after a burst of
-        refusals nothing else would fill its bucket in time.
-        """
-        return self.tokens >= 1.0 or self.serves and \
-            self.repeats.rate(now) < OVERDRAFT * self.firsts.rate(now)
-
     def troubled(self) -> bool:
         return any(ep.ill or ep.slow() for ep in self.endpoints())
 
@@ -253,7 +242,7 @@
                  key: str | None) -> None:
         """A new document."""
         self._order += 1
-        dest = self._destination(now, destination)
+        dest = self._destination(destination)
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order)
         if key is not None and doc.kind.in_order:
             doc.keyline = self._keys.setdefault(key, Keyline())
@@ -365,8 +354,7 @@
         dest, joins = doc.destination, 0 < ep.joined < route.per_call
         dest.turn = ep.number + 1
         if doc.repeats:
-            dest.tokens = max(0.0, dest.tokens - 1.0)
-        (dest.repeats if doc.repeats else dest.firsts).add(now)
+            dest.tokens -= 1.0
         dest.tokens = min(TOKENS, dest.tokens + TOKEN_PER_TRANSMISSION)
         if joins:
             ep.joined += 1
@@ -439,7 +427,7 @@
                 continue
             if doc.keyline and doc.keyline.rest_until > now:
                 self._wake(now, doc.keyline.rest_until)
-            if doc.repeats and not dest.pays(now):
+            if doc.repeats and dest.tokens < 1.0:
                 continue
             rank = doc.worth(now, self._set.halving) * doc.kind.value ** 0.5
             if found and rank <= found[0]:
@@ -527,7 +515,6 @@
             return
         if ep.ill and route.trials_out:
             route.trials_out -= 1
-        dest.serves = kind == OK
         if kind == OK:
             self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
@@ -609,13 +596,13 @@
             end = min(end, doc.doubt[0][0] + doc.kind.window_ms)
         return end
 
-    def _destination(self, now: float, number: int) -> Destination:
+    def _destination(self, number: int) -> Destination:
         if number not in self._destinations:
-            self._destinations[number] = Destination(number, self._set.slots, now)
+            self._destinations[number] = Destination(number, self._set.slots)
         return self._destinations[number]
 
     def _join(self, now: float, entry: our.Endpoint) -> None:
-        dest = self._destination(now, entry.destination)
+        dest = self._destination(entry.destination)
         if not dest.routes or self._set.routes_apart[entry.kind]:
             route = Route(self._set.per_call[entry.kind], now)
             if self._set.rates_listed and entry.rate > 0:
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -20,7 +20,7 @@
                      ask_every_ms=0.0, retry_after_ms=3000.0, fall_multiple=1.5, fall_ms=2000.0,
                      cold_share=0.3, warm_up_ms=10000.0, key_rest_ms=1000.0)
         self.now, self.calls, self.said, self.alarms, self.logs, self.closed = 0.0, [], [], [], [], []
-        self.number = {}
+        self.number, self.ended = {}, set()
         self.sender = Sender(our.Settings(**{**words, **settings}), 7, self)
         self.listed(endpoints)
 
@@ -59,6 +59,7 @@
         self.at(self.now + after)
         endpoint = [where for doc, where in self.calls if doc == doc_id][-1]
         over = kind == our.OK if over is None else over
+        self.ended |= {doc_id} if over else set()
         self.sender.outcome(self.now, doc_id, endpoint,
                             our.Outcome(kind, self.number[doc_id], 100.0, over, **words))
         self.sender.turn(self.now)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -23,10 +23,10 @@
 def test_a_destination_over_its_limit_is_not_taken_for_shut():
     story = Story()
     for number in range(9):
-        doc = f"d{number}"
-        story.take(doc)
-        story.at(story.now + 300.0)
-        story.ends(doc, our.FULL if number else our.OK, 20.0)
+        story.take(f"d{number}")
+    for number in range(9):
+        if story.tries(f"d{number}"):
+            story.ends(f"d{number}", our.FULL if number else our.OK, 200.0)
     assert not story.logs
 
 
@@ -35,7 +35,9 @@
     for number in range(40):
         doc = f"d{number}"
         story.take(doc)
-        well = story.calls[-1][1] == "b" or number > 20
-        story.ends(doc, our.OK if well else our.TIMEOUT, 100.0)
-        story.at(story.now + 300.0)
+        while doc not in story.ended:
+            story.at(story.now + 100.0)
+            if story.tries(doc):
+                well = story.calls[-1][1] == "b" or number > 20
+                story.ends(doc, our.OK if well else our.TIMEOUT, 100.0)
     assert len(story.logs) == 2 and "back" in story.logs[1]
