Steer by a share of the limit; ramp from this sender's part of a known limit

(1) Reports swung between full and no room every four seconds: the pace grew with each answer and overshot.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -30,11 +30,13 @@
 DOUBT_SHARE = 0.25                             # share of calls in doubt above which binding ones wait
 SLOW = 3.0                                     # answers this many times slower than usual: slow
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
-PACE_CUT, PACE_STEP = 0.8, 0.05                # the pace under a limit: cut on refusal, step per served call
-LEAST_PACE = 1.0                               # calls a second
-LITTLE_ROOM = 0.2                              # share of a limit left under which the pace is cut
+SHARE_CUT, SHARE_STEP = 0.8, 0.3              # the share of a limit: cut, and growth a second
+LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
+ROOM_MS = 1000.0                               # a report of room is believed for so long
+LEAST_PACE, BURST = 0.5, 0.5                   # calls a second; seconds of the pace that may go at once
 SHUT_MS = 3000.0                               # refusing everything for so long: shut
-CUT_EVERY_MS = 300.0                           # the pace is cut no more often
+GUESSED_TOP = 4.0                              # a limit not told may be so many times the rate first seen
+CUT_EVERY_MS = 300.0                           # the share is cut no more often
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
 STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
@@ -112,26 +114,41 @@
 
 
 class Route:
-    """What shares a limit, told waits and outages: a destination, or one endpoint where routes are apart."""
+    """What shares a limit, told waits and outages: a destination, or one endpoint where routes are apart.
 
-    def __init__(self, per_call: int, now: float) -> None:
+    The pace keeps a sender under a limit that it shares with others: its share of the limit is cut when the
+    room told is little or a call is refused, and grows back with time; little room slows it at once.
+    """
+
+    def __init__(self, per_call: int, limit: float, now: float) -> None:
         self.endpoints: list[Endpoint] = []
         self.per_call = per_call
         self.wait_until = 0.0
         self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
-        self.pace: float | None = None  # calls a second, once a limit was met
-        self.limit, self.room_told = 0.0, False     # the destination's own word on it
-        self.credit, self.credit_at, self.cut_at = 1.0, now, now
+        self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
+        self.room, self.room_at = 1.0, now
+        self.credit, self.credit_at = 1.0, now
         self.served = Ring(now)
 
     def ready_at(self, now: float) -> float:
         """When the pace allows the next call."""
-        if self.pace is None:
+        if not self.limit:
             return now
-        gained = (now - self.credit_at) * self.pace / 1000.0
-        self.credit = min(max(1.0, self.pace * 0.5), self.credit + gained)
+        room = self.room if now - self.room_at < ROOM_MS else 1.0
+        pace = max(self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)), LEAST_PACE)
+        self.credit = min(max(1.0, pace * BURST), self.credit + (now - self.credit_at) * pace / 1000.0)
         self.credit_at = now
-        return now if self.credit >= 0.999 else now + (1.0 - self.credit) * 1000.0 / self.pace
+        return now if self.credit >= 0.999 else now + (1.0 - self.credit) * 1000.0 / pace
+
+    def grow(self, now: float, top: float) -> None:
+        self.share = min(top, self.share + SHARE_STEP * min(1.0, (now - self.steered_at) / 1000.0))
+        self.steered_at = now
+
+    def cut(self, now: float, least: float) -> None:
+        self.steered_at = now
+        if now >= self.cut_at:
+            self.share = max(self.share * SHARE_CUT, least)
+            self.cut_at = now + CUT_EVERY_MS        # signs of one moment are one sign
 
 
 class Destination:
@@ -468,7 +485,7 @@
                     continue
                 if ep.ill:
                     trials.append((route, ep))
-                elif self._ramped(now, ep):
+                elif self._ramped(now, route, ep):
                     places.append((ep.out, (ep.number - dest.turn) % 64, route, ep))
         for route, _ in trials:
             if not route.trials_out and now < route.trial_at:
@@ -476,8 +493,9 @@
         due = [(route, ep) for route, ep in trials if not route.trials_out and now >= route.trial_at]
         return due + [place[2:] for place in sorted(places, key=lambda place: place[:2])]
 
-    def _ramped(self, now: float, ep: Endpoint) -> bool:
-        """An endpoint that came back is cold: it gets what it took before, times its share of warmth."""
+    def _ramped(self, now: float, route: Route, ep: Endpoint) -> bool:
+        """An endpoint that came back is cold: it gets what it took before, or this sender's part of a known
+        limit, times its share of warmth."""
         if ep.back_at is None:
             return True
         warm = (now - ep.back_at) / self._set.warm_up_ms
@@ -485,7 +503,8 @@
             ep.back_at = None
             return True
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
-        rate = max(LEAST_PACE, ep.before) * share
+        part = route.limit / self._set.senders / sum(each.state == READY for each in route.endpoints)
+        rate = max(LEAST_PACE, ep.before, part) * share
         ep.credit = min(1.0, ep.credit + (now - ep.credit_at) * rate / 1000.0)
         ep.credit_at = now
         if ep.credit >= 0.999:
@@ -508,9 +527,14 @@
     def _learn(self, now: float, dest: Destination, route: Route, ep: Endpoint, outcome: our.Outcome) -> None:
         kind = outcome.kind
         if outcome.limit:
-            route.limit = outcome.limit
-            route.room_told = True
-            self._steer(now, route, outcome.room or 0.0)
+            route.limit, route.room, route.room_at = outcome.limit, outcome.room or 0.0, now
+        little = kind == FULL or outcome.limit and route.room < LITTLE_ROOM
+        if kind == FULL and not route.limit:
+            route.limit = max(route.served.rate(now), route.served.rate(now, 2), LEAST_PACE)
+        if little:
+            route.cut(now, 0.5 / self._set.senders)
+        elif kind == OK:
+            route.grow(now, 1.0 if outcome.limit else GUESSED_TOP)
         if kind in (UNSENT, CANCELLED):
             return
         if ep.ill and route.trials_out:
@@ -523,9 +547,6 @@
             ep.places = float(max(1, ep.out))       # its connections are all taken: not an outage
             return
         if kind == FULL:
-            if route.pace is None:
-                route.pace = max(route.served.rate(now), route.served.rate(now, 2))
-            self._cut(now, route)
             route.credit = min(route.credit, 0.0)   # the next call a full step later
         ep.streak += 1
         ep.failing += 0.2 * (1.0 - ep.failing)
@@ -542,20 +563,6 @@
             route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
             self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {kind}")
 
-    def _steer(self, now: float, route: Route, room: float) -> None:
-        """Keeps the pace under a told limit that others share, by the room it tells."""
-        if route.pace is None:
-            route.pace = route.limit
-        if room < LITTLE_ROOM:
-            self._cut(now, route)
-        else:
-            route.pace = min(route.limit, route.pace + PACE_STEP * route.limit * room)
-
-    def _cut(self, now: float, route: Route) -> None:
-        if now >= route.cut_at:
-            route.pace = max(route.pace * PACE_CUT, LEAST_PACE, route.limit / self._set.senders / 2.0)
-            route.cut_at = now + CUT_EVERY_MS       # signs of one moment are one sign
-
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled() else dest.top), dest.window + 1.0)
         route.served.add(now)
@@ -569,9 +576,6 @@
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
         if ep.places is not None:
             ep.places += 0.05
-        if route.pace is not None and not route.room_told:
-            top = route.limit or route.pace * 2.0
-            route.pace = min(max(top, LEAST_PACE), route.pace + PACE_STEP * max(route.pace, 1.0))
         if ep.ill:
             route.trial_at, route.trial_ms = now, TRIAL_MS
             if ep.failing <= ILL_SHARE:
@@ -604,10 +608,8 @@
     def _join(self, now: float, entry: our.Endpoint) -> None:
         dest = self._destination(entry.destination)
         if not dest.routes or self._set.routes_apart[entry.kind]:
-            route = Route(self._set.per_call[entry.kind], now)
-            if self._set.rates_listed and entry.rate > 0:
-                route.limit, route.pace = entry.rate, entry.rate
-            dest.routes.append(route)
+            rate = entry.rate if self._set.rates_listed else 0.0
+            dest.routes.append(Route(self._set.per_call[entry.kind], rate, now))
         route = dest.routes[-1]
         ep = Endpoint(entry.name, entry.zone, now)
         ep.number = sum(len(each.endpoints) for each in dest.routes)
