Meet the end of a long told wait, or of any silence after a failure, like a return

An endpoint that served nothing for 3 s since a failure now counts as ill: one call, then the ramp. Covers refusals without waits and endpoints seldom used. May cost a clump at a destination that is seldom called and has just failed.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -99,7 +99,7 @@
         self.out = 0                    # calls out
         self.idle: list[float] = []     # since when each idle connection lies idle
         self.places: float | None = None  # connections it seems to allow, once one was denied
-        self.streak, self.ok_at = 0, now  # failures in a row; when it last served
+        self.streak, self.failed_at = 0, now    # failures in a row, and when they began
         self.failing = self.doubtful = 0.0  # moving shares of calls failed, and of calls left in doubt
         self.ill = False
         self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
@@ -483,6 +483,10 @@
             for ep in route.endpoints:
                 if ep.state != READY or ep.places is not None and ep.out >= int(ep.places):
                     continue
+                if not ep.ill and ep.streak and now - ep.failed_at >= SHUT_MS:
+                    # nothing served since: shut, or kept away by a wait; it may come back cold
+                    self._falls_ill(now, dest, route, ep, "silence")
+                    route.trial_at = now
                 if ep.ill:
                     trials.append((route, ep))
                 elif self._ramped(now, route, ep):
@@ -548,6 +552,8 @@
             return
         if kind == FULL:
             route.credit = min(route.credit, 0.0)   # the next call a full step later
+        if ep.streak == 0:
+            ep.failed_at = now
         ep.streak += 1
         ep.failing += 0.2 * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
@@ -555,13 +561,14 @@
         if ep.ill:
             route.trial_ms = min(LONGEST_TRIAL_MS, route.trial_ms * 2.0)
             route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
-        elif kind == FULL and (ep.streak < 2 * STREAK or now - ep.ok_at < SHUT_MS):
-            return                                  # over its limit, or its line is full: not an outage
-        elif ep.streak >= (1 if sibling_ill else STREAK) or ep.failing > ILL_SHARE:
-            ep.ill, ep.back_at = True, None
-            route.trial_ms = TRIAL_MS
-            route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
-            self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {kind}")
+        elif kind != FULL and (ep.streak >= (1 if sibling_ill else STREAK) or ep.failing > ILL_SHARE):
+            self._falls_ill(now, dest, route, ep, kind)
+
+    def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Endpoint, why: str) -> None:
+        ep.ill, ep.back_at = True, None
+        route.trial_ms = TRIAL_MS
+        route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
+        self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
 
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled() else dest.top), dest.window + 1.0)
@@ -569,7 +576,7 @@
         ep.served.add(now)
         if not ep.ill and ep.back_at is None:
             ep.before = ep.served.rate(now)
-        ep.streak, ep.ok_at = 0, now
+        ep.streak = 0
         ep.failing *= 0.8
         ep.doubtful *= 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -41,3 +41,21 @@
                 well = story.calls[-1][1] == "b" or number > 20
                 story.ends(doc, our.OK if well else our.TIMEOUT, 100.0)
     assert len(story.logs) == 2 and "back" in story.logs[1]
+
+
+def test_after_a_long_told_wait_a_destination_is_met_like_one_that_was_down():
+    story = Story(slots=20)
+    for number in range(12):
+        story.take(f"d{number}")
+    first, other = [doc for doc, _ in story.calls][:2]
+    story.ends(first, our.OK, 100.0)
+    story.ends(other, our.FULL, 0.0, wait_ms=8000.0)
+    for doc in [doc for doc, _ in story.calls][2:]:
+        story.ends(doc, our.FULL, 0.0)
+    out = len(story.calls)
+    story.at(8101.0)
+    assert len(story.calls) == out + 1
+    story.ends(story.calls[-1][0], our.OK, 100.0)
+    assert len(story.calls) == out + 1
+    story.at(9000.0)
+    assert out + 1 < len(story.calls) < out + 4
