Meet a long told wait like an outage; all sick endpoints share a quarter of the slots

A told wait longer than a limit's span would explain now makes the endpoint ill: one call, then the ramp. May cost where most destinations are slow at once.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -34,7 +34,7 @@
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
 ROOM_MS = 1000.0                               # a report of room is believed for so long
 LEAST_PACE, BURST = 0.5, 0.5                   # calls a second; seconds of the pace that may go at once
-SHUT_MS = 3000.0                               # refusing everything for so long: shut
+SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
 GUESSED_TOP = 4.0                              # a limit not told may be so many times the rate first seen
 CUT_EVERY_MS = 300.0                           # the share is cut no more often
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
@@ -469,7 +469,7 @@
         window = min(dest.window, dest.half) if dest.troubled() else dest.window
         if dest.out >= int(window):
             return []
-        if dest.troubled() and sum(d.out for d in self._destinations.values() if d.troubled()) >= dest.half:
+        if dest.troubled() and sum(d.out for d in self._destinations.values() if d.troubled()) >= max(1, dest.half // 2):
             return []       # several sick destinations must not fill the slots together
         places, trials = [], []
         for route in dest.routes:
@@ -483,10 +483,6 @@
             for ep in route.endpoints:
                 if ep.state != READY or ep.places is not None and ep.out >= int(ep.places):
                     continue
-                if not ep.ill and ep.streak and now - ep.failed_at >= SHUT_MS:
-                    # nothing served since: shut, or kept away by a wait; it may come back cold
-                    self._falls_ill(now, dest, route, ep, "silence")
-                    route.trial_at = now
                 if ep.ill:
                     trials.append((route, ep))
                 elif self._ramped(now, route, ep):
@@ -561,8 +557,9 @@
         if ep.ill:
             route.trial_ms = min(LONGEST_TRIAL_MS, route.trial_ms * 2.0)
             route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
-        elif kind != FULL and (ep.streak >= (1 if sibling_ill else STREAK) or ep.failing > ILL_SHARE):
-            self._falls_ill(now, dest, route, ep, kind)
+        elif kind != FULL and (ep.streak >= (1 if sibling_ill else STREAK) or ep.failing > ILL_SHARE) or \
+                outcome.wait_ms > LONG_WAIT_MS or ep.streak >= 2 * STREAK and now - ep.failed_at >= SHUT_MS:
+            self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
 
     def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Endpoint, why: str) -> None:
         ep.ill, ep.back_at = True, None
