--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -28,6 +28,7 @@
 STREAK = 3                                     # failures in a row that make an endpoint ill
 ILL_SHARE = 0.5                                # or this share of recent calls failing
 DOUBT_SHARE = 0.25                             # share of calls in doubt above which binding ones wait
+SICK_PART = 0.5                                # of half the slots, for all sick destinations together
 SLOW = 3.0                                     # answers this many times slower than usual: slow
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
 SHARE_CUT, SHARE_STEP = 0.8, 0.3              # the share of a limit: cut, and growth a second
@@ -386,7 +387,7 @@
             self._out += 1
             ep.out += 1
             dest.out += 1
-            route.credit -= 1.0
+            route.credit = max(0.0, route.credit - 1.0)
             ep.credit -= 1.0
             if ep.ill:
                 route.trials_out += 1
@@ -469,8 +470,10 @@
         window = min(dest.window, dest.half) if dest.troubled() else dest.window
         if dest.out >= int(window):
             return []
-        if dest.troubled() and sum(d.out for d in self._destinations.values() if d.troubled()) >= max(1, dest.half // 2):
-            return []       # several sick destinations must not fill the slots together
+        if dest.troubled():
+            sick = sum(each.out for each in self._destinations.values() if each.troubled())
+            if sick >= max(1, int(dest.half * SICK_PART)):
+                return []   # several sick destinations must not fill the slots together
         places, trials = [], []
         for route in dest.routes:
             if now < route.wait_until:
