Give scarce slots to the most value over the root of the destination's answer time

Cause: with everything slow, slots are short, and slow destinations took them from fast ones. May hurt the documents of one slow destination while all slots are taken.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -422,7 +422,7 @@
         for dest in waiting:
             self._look(now, dest, best)
         while best:
-            number = max(best, key=lambda key: best[key][0])
+            number = max(best, key=lambda key: best[key][0] / (best[key][3].recent_ms + CALL_MS) ** 0.5)
             _, doc, route, ep = best.pop(number)
             dest = doc.destination
             if self._out < self._set.slots or 0 < ep.joined < route.per_call:
@@ -447,7 +447,7 @@
                 self._wake(now, doc.keyline.rest_until)
             if doc.repeats and dest.tokens < 1.0:
                 continue
-            rank = doc.worth(now, self._set.halving) * doc.kind.value ** 0.5
+            rank = doc.worth(now, self._set.halving) * doc.kind.value
             if found and rank <= found[0]:
                 continue
             for route, ep in places:
