--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -285,13 +285,13 @@
                 self._idle.learn(now, doc.idle_ms, outcome.kind == our.RESET)
                 if outcome.kind != our.RESET and ep.out % self._set.calls_per_connection == 0:
                     ep.idle.append(now)
+            self._learn(now, doc.destination, route, ep, outcome)   # once a call, however many share it
         if outcome.kind not in NEVER_RAN and outcome.kind != OK:
             doc.doubt.append((sent_at, ep.zone))
             if doc.keyline:
                 doc.keyline.rest_until, doc.keyline.rested_by = now + self._set.key_rest_ms, doc
         if outcome.wait_ms > 0:
             route.wait_until = max(route.wait_until, now + outcome.wait_ms)
-        self._learn(now, doc.destination, route, ep, outcome)
         if doc.over:
             return
         if outcome.over:
