Take an endpoint for slow when an answer is overdue, before its time-out

Covers hanging, silent and slow destinations alike; may cost where single documents take seconds by nature.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -30,6 +30,7 @@
 DOUBT_SHARE = 0.25                             # share of calls in doubt above which binding ones wait
 SICK_PART = 0.5                                # of half the slots, for all sick destinations together
 SLOW = 3.0                                     # answers this many times slower than usual: slow
+OVERDUE_MS, OVERDUE = 1000.0, 4.0              # so is a call out so long, and so many usual answer times
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
 SHARE_CUT, SHARE_STEP = 0.8, 0.3              # the share of a limit: cut, and growth a second
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
@@ -97,7 +98,7 @@
 
     def __init__(self, name: str, zone: str, now: float) -> None:
         self.name, self.zone, self.state = name, zone, READY
-        self.out = 0                    # calls out
+        self.calls: list[float] = []    # when each call that is out was sent
         self.idle: list[float] = []     # since when each idle connection lies idle
         self.places: float | None = None  # connections it seems to allow, once one was denied
         self.streak, self.failed_at = 0, now    # failures in a row, and when they began
@@ -110,8 +111,11 @@
         self.credit, self.credit_at = 1.0, 0.0
         self.joined = 0                 # documents in the call made in this turn
 
-    def slow(self) -> bool:
-        return self.recent_ms > SLOW * self.usual_ms
+    def slow(self, now: float) -> bool:
+        """True if answers take much longer than usual, or one is overdue; time-outs tell it too late."""
+        if self.recent_ms > SLOW * self.usual_ms:
+            return True
+        return bool(self.calls) and now - self.calls[0] > max(OVERDUE_MS, OVERDUE * self.usual_ms)
 
 
 class Route:
@@ -168,8 +172,8 @@
     def endpoints(self) -> list[Endpoint]:
         return [ep for route in self.routes for ep in route.endpoints if ep.state == READY]
 
-    def troubled(self) -> bool:
-        return any(ep.ill or ep.slow() for ep in self.endpoints())
+    def troubled(self, now: float) -> bool:
+        return any(ep.ill or ep.slow(now) for ep in self.endpoints())
 
 
 class Document:
@@ -279,11 +283,11 @@
         self._flying.pop(doc_id, None)
         if counted:
             self._out -= 1
-            ep.out -= 1
+            ep.calls.remove(sent_at)
             doc.destination.out -= 1
             if outcome.kind in (OK, our.ERROR, FULL, our.RESET):
                 self._idle.learn(now, doc.idle_ms, outcome.kind == our.RESET)
-                if outcome.kind != our.RESET and ep.out % self._set.calls_per_connection == 0:
+                if outcome.kind != our.RESET and len(ep.calls) % self._set.calls_per_connection == 0:
                     ep.idle.append(now)
             self._learn(now, doc.destination, route, ep, outcome)   # once a call, however many share it
         if outcome.kind not in NEVER_RAN and outcome.kind != OK:
@@ -379,13 +383,13 @@
         else:
             ep.joined = 1
             self._joined.append(ep)
-            if ep.out % self._set.calls_per_connection == 0:    # it takes a connection
+            if len(ep.calls) % self._set.calls_per_connection == 0:    # it takes a connection
                 if ep.idle and self._idle.stale(now, now - ep.idle[0]):
                     self._host.close_idle(ep.name)
                     ep.idle.clear()
                 doc.idle_ms = now - ep.idle.pop() if ep.idle else 0.0
             self._out += 1
-            ep.out += 1
+            ep.calls.append(now)
             dest.out += 1
             route.credit = max(0.0, route.credit - 1.0)
             ep.credit -= 1.0
@@ -467,11 +471,11 @@
             return joinable
         if self._out >= self._set.slots:
             return []
-        window = min(dest.window, dest.half) if dest.troubled() else dest.window
+        window = min(dest.window, dest.half) if dest.troubled(now) else dest.window
         if dest.out >= int(window):
             return []
-        if dest.troubled():
-            sick = sum(each.out for each in self._destinations.values() if each.troubled())
+        if dest.troubled(now):
+            sick = sum(each.out for each in self._destinations.values() if each.troubled(now))
             if sick >= max(1, int(dest.half * SICK_PART)):
                 return []   # several sick destinations must not fill the slots together
         places, trials = [], []
@@ -484,12 +488,12 @@
                 self._wake(now, ready_at)
                 continue
             for ep in route.endpoints:
-                if ep.state != READY or ep.places is not None and ep.out >= int(ep.places):
+                if ep.state != READY or ep.places is not None and len(ep.calls) >= int(ep.places):
                     continue
                 if ep.ill:
                     trials.append((route, ep))
                 elif self._ramped(now, route, ep):
-                    places.append((ep.out, (ep.number - dest.turn) % 64, route, ep))
+                    places.append((len(ep.calls), (ep.number - dest.turn) % 64, route, ep))
         for route, _ in trials:
             if not route.trials_out and now < route.trial_at:
                 self._wake(now, route.trial_at)
@@ -546,8 +550,8 @@
             self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
         dest.window = max(1.0, dest.window / 2.0)
-        if kind == CONNECT_FAILED and ep.out > 0 and ep.streak == 0:
-            ep.places = float(max(1, ep.out))       # its connections are all taken: not an outage
+        if kind == CONNECT_FAILED and ep.calls and ep.streak == 0:
+            ep.places = float(len(ep.calls))       # its connections are all taken: not an outage
             return
         if kind == FULL:
             route.credit = min(route.credit, 0.0)   # the next call a full step later
@@ -571,7 +575,7 @@
         self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
 
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
-        dest.window = min(float(dest.half if dest.troubled() else dest.top), dest.window + 1.0)
+        dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
         ep.served.add(now)
         if not ep.ill and ep.back_at is None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -56,3 +56,13 @@
     story.ends(story.calls[-1][0], our.OK, 100.0)
     story.at(10000.0)
     assert out + 1 < len(story.calls) < out + 4
+
+
+@pytest.mark.parametrize(("age", "sent"), [(500.0, 3), (1500.0, 2)])
+def test_an_overdue_answer_keeps_a_destination_from_more_slots_before_its_time_out(age, sent):
+    story = Story(slots=8)
+    for doc in ("d", "e"):
+        story.take(doc)
+    story.at(age)
+    story.take("f")
+    assert len(story.calls) == sent
