Take a failed connection for a connection limit only if other calls were served meanwhile

Cause: in a crash with calls out the first failure passed for a full table and left the endpoint few places.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -102,6 +102,7 @@
         self.idle: list[float] = []     # since when each idle connection lies idle
         self.places: float | None = None  # connections it seems to allow, once one was denied
         self.streak, self.failed_at = 0, now    # failures in a row, and when they began
+        self.ok_at = -1.0               # when it last served
         self.failing = self.doubtful = 0.0  # moving shares of calls failed, and of calls left in doubt
         self.ill = False
         self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
@@ -289,7 +290,7 @@
                 self._idle.learn(now, doc.idle_ms, outcome.kind == our.RESET)
                 if outcome.kind != our.RESET and len(ep.calls) % self._set.calls_per_connection == 0:
                     ep.idle.append(now)
-            self._learn(now, doc.destination, route, ep, outcome)   # once a call, however many share it
+            self._learn(now, doc.destination, route, ep, sent_at, outcome)  # once a call
         if outcome.kind not in NEVER_RAN and outcome.kind != OK:
             doc.doubt.append((sent_at, ep.zone))
             if doc.keyline:
@@ -531,7 +532,8 @@
 
     # What outcomes teach
 
-    def _learn(self, now: float, dest: Destination, route: Route, ep: Endpoint, outcome: our.Outcome) -> None:
+    def _learn(self, now: float, dest: Destination, route: Route, ep: Endpoint, sent_at: float,
+               outcome: our.Outcome) -> None:
         kind = outcome.kind
         if outcome.limit:
             route.limit, route.room, route.room_at = outcome.limit, outcome.room or 0.0, now
@@ -550,8 +552,8 @@
             self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
         dest.window = max(1.0, dest.window / 2.0)
-        if kind == CONNECT_FAILED and ep.calls and ep.streak == 0:
-            ep.places = float(len(ep.calls))       # its connections are all taken: not an outage
+        if kind == CONNECT_FAILED and ep.calls and ep.ok_at >= sent_at:
+            ep.places = float(len(ep.calls))        # others were served meanwhile: its connections are taken
             return
         if kind == FULL:
             route.credit = min(route.credit, 0.0)   # the next call a full step later
@@ -580,7 +582,7 @@
         ep.served.add(now)
         if not ep.ill and ep.back_at is None:
             ep.before = ep.served.rate(now)
-        ep.streak = 0
+        ep.streak, ep.ok_at = 0, now
         ep.failing *= 0.8
         ep.doubtful *= 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
