--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -147,7 +147,7 @@
         return now if self.credit >= 0.999 else now + (1.0 - self.credit) * 1000.0 / pace
 
     def grow(self, now: float, top: float) -> None:
-        self.share = min(top, self.share * (1.0 + SHARE_STEP * min(1.0, (now - self.steered_at) / 1000.0)))
+        self.share = min(top, self.share + SHARE_STEP * min(1.0, (now - self.steered_at) / 1000.0))
         self.steered_at = now
 
     def cut(self, now: float, least: float) -> None:
