--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -453,8 +453,6 @@
             if doc.repeats and dest.tokens < 1.0:
                 continue
             rank = doc.worth(now, self._set.halving) * doc.kind.value
-            if places[0][1].ill:
-                rank /= 1.0 + doc.sent      # trials must not use up one document's transmissions
             if found and rank <= found[0]:
                 continue
             for route, ep in places:
