Hold a shared call's slot until all its documents have outcomes; tidy the module

A trial that ended unsent or cancelled also left its route without trials for good. A failed subscription is now asked for again after a pause.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -39,6 +39,7 @@
 SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
 GUESSED_TOP = 4.0                              # a limit not told may be so many times the rate first seen
 CUT_EVERY_MS = 300.0                           # the share is cut no more often
+ASK_AGAIN_MS = 1000.0                          # a failed subscription is asked for again after half of this
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
 STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
@@ -93,14 +94,30 @@
                    for until, bound in zip(self._until, IDLE_MS, strict=True))
 
 
+class Meter:
+    """Spaces calls out: credit grows with a rate and pays for calls."""
+
+    def __init__(self, now: float) -> None:
+        self.credit, self._at = 1.0, now
+
+    def wait_ms(self, now: float, rate: float, most: float) -> float:
+        """How long until the next call is paid for, at so many calls a second."""
+        self.credit = min(most, self.credit + (now - self._at) * rate / 1000.0)
+        self._at = now
+        return 0.0 if self.credit >= 0.999 else (1.0 - self.credit) * 1000.0 / rate
+
+    def empty(self, now: float) -> None:
+        self.credit, self._at = 0.0, now
+
+
 class Endpoint:
     """One endpoint: its calls out and its health."""
 
-    def __init__(self, name: str, zone: str, now: float) -> None:
-        self.name, self.zone, self.state = name, zone, READY
+    def __init__(self, name: str, zone: str, number: int, now: float) -> None:
+        self.name, self.zone, self.number, self.state = name, zone, number, READY
         self.calls: list[float] = []    # when each call that is out was sent
         self.idle: list[float] = []     # since when each idle connection lies idle
-        self.places: float | None = None  # connections it seems to allow, once one was denied
+        self.places = float("inf")      # connections it seems to allow, once one was denied
         self.streak, self.failed_at = 0, now    # failures in a row, and when they began
         self.ok_at = -1.0               # when it last served
         self.failing = self.doubtful = 0.0  # moving shares of calls failed, and of calls left in doubt
@@ -109,8 +126,11 @@
         self.served = Ring(now)
         self.before = 0.0               # calls a second served before the trouble
         self.back_at: float | None = None  # when it answered again after an outage
-        self.credit, self.credit_at = 1.0, 0.0
-        self.joined = 0                 # documents in the call made in this turn
+        self.meter = Meter(now)         # for the ramp after it
+        self.call: Call | None = None   # the call made in this turn, which others may join
+
+    def joinable(self, route: Route) -> bool:
+        return self.call is not None and self.call.docs < route.per_call
 
     def slow(self, now: float) -> bool:
         """True if answers take much longer than usual, or one is overdue; time-outs tell it too late."""
@@ -133,18 +153,17 @@
         self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
         self.room, self.room_at = 1.0, now
-        self.credit, self.credit_at = 1.0, now
-        self.served = Ring(now)
+        self.meter, self.served = Meter(now), Ring(now)
 
-    def ready_at(self, now: float) -> float:
-        """When the pace allows the next call."""
+    def wait_ms(self, now: float) -> float:
+        """How long until a told wait is over and the pace allows the next call."""
+        if now < self.wait_until:
+            return self.wait_until - now
         if not self.limit:
-            return now
+            return 0.0
         room = self.room if now - self.room_at < ROOM_MS else 1.0
         pace = max(self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)), LEAST_PACE)
-        self.credit = min(max(1.0, pace * BURST), self.credit + (now - self.credit_at) * pace / 1000.0)
-        self.credit_at = now
-        return now if self.credit >= 0.999 else now + (1.0 - self.credit) * 1000.0 / pace
+        return self.meter.wait_ms(now, pace, max(1.0, pace * BURST))
 
     def grow(self, now: float, top: float) -> None:
         self.share = min(top, self.share + SHARE_STEP * min(1.0, (now - self.steered_at) / 1000.0))
@@ -170,11 +189,18 @@
         self.out = 0                    # calls out
         self.turn = 0                   # for taking endpoints in turn
 
-    def endpoints(self) -> list[Endpoint]:
-        return [ep for route in self.routes for ep in route.endpoints if ep.state == READY]
-
     def troubled(self, now: float) -> bool:
-        return any(ep.ill or ep.slow(now) for ep in self.endpoints())
+        return any(ep.state == READY and (ep.ill or ep.slow(now))
+                   for route in self.routes for ep in route.endpoints)
+
+
+class Call:
+    """A call that is out, with one document or several that share its slot and its fate."""
+
+    def __init__(self, route: Route, ep: Endpoint, now: float, idle_ms: float) -> None:
+        self.route, self.ep, self.sent_at, self.idle_ms = route, ep, now, idle_ms
+        self.trial = ep.ill
+        self.docs, self.heard = 0, False    # documents without an outcome; whether one had its outcome
 
 
 class Document:
@@ -187,16 +213,12 @@
         self.taken = self.expiry - kind.expiry_ms   # when the client first handed it in
         self.ready_at = now             # end of its pause
         self.sent = self.repeats = 0    # transmissions, and those that the bucket paid for
-        self.out: tuple[Route, Endpoint, float, bool] | None = None  # the transmission out
-        self.idle_ms = 0.0              # how long its connection had been idle
+        self.out: Call | None = None
         self.doubt: list[tuple[float, str]] = []    # transmissions that may have run: time and zone
         self.over = False
         self.keyline: Keyline | None = None
         self.path: Generator | None = None
 
-    def __lt__(self, other: Document) -> bool:
-        return self.order < other.order
-
     def worth(self, now: float, halving: bool) -> float:
         """Share of its value that it would earn if transmitted now."""
         kind = self.kind
@@ -238,26 +260,21 @@
         self._order = self._out = 0
         self._alarm = float("inf")
         self._idle = Idle()
-        self._joined: list[Endpoint] = []
-        if settings.list_on_request:
-            host.subscribe()
+        self._dialled: list[Endpoint] = []
+        self._ask_at = 0.0 if settings.list_on_request else float("inf")
 
     # Events
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
         """The list, or changes to it."""
         if mode == our.FAILED:
-            self._host.subscribe()
+            self._ask_at = now + self._draw(0.5, 1.0) * ASK_AGAIN_MS
             return
-        named = {entry.name for entry in entries}
-        if mode != our.CHANGES:
-            for name, (_, ep) in self._endpoints.items():
-                if name not in named:
-                    ep.state = our.GONE
+        if mode != our.CHANGES:                     # what a whole list leaves out is gone
+            for _, ep in self._endpoints.values():
+                ep.state = our.GONE
         for entry in entries:
             if entry.name not in self._endpoints:
-                if entry.state == our.GONE:
-                    continue
                 self._join(now, entry)
             self._endpoints[entry.name][1].state = entry.state
 
@@ -279,36 +296,30 @@
         doc = self._held.get(doc_id) or self._flying.get(doc_id)
         if doc is None or doc.out is None or outcome.number != doc.sent - 1:
             return
-        route, ep, sent_at, counted = doc.out
-        doc.out = None
+        call, doc.out = doc.out, None
+        route, ep = call.route, call.ep
         self._flying.pop(doc_id, None)
-        if counted:
-            self._out -= 1
-            ep.calls.remove(sent_at)
-            doc.destination.out -= 1
-            if outcome.kind in (OK, our.ERROR, FULL, our.RESET):
-                self._idle.learn(now, doc.idle_ms, outcome.kind == our.RESET)
-                if outcome.kind != our.RESET and len(ep.calls) % self._set.calls_per_connection == 0:
-                    ep.idle.append(now)
-            self._learn(now, doc.destination, route, ep, sent_at, outcome)  # once a call
+        call.docs -= 1
+        if call.docs == 0:
+            self._hang_up(now, doc.destination, call, outcome.kind)
+        if not call.heard and outcome.kind not in (UNSENT, CANCELLED):
+            self._learn(now, doc.destination, call, outcome)    # once, however many share the call
+        call.heard = True
         if outcome.kind not in NEVER_RAN and outcome.kind != OK:
-            doc.doubt.append((sent_at, ep.zone))
+            doc.doubt.append((call.sent_at, ep.zone))
             if doc.keyline:
                 doc.keyline.rest_until, doc.keyline.rested_by = now + self._set.key_rest_ms, doc
         if outcome.wait_ms > 0:
             route.wait_until = max(route.wait_until, now + outcome.wait_ms)
-        if doc.over:
-            return
-        if outcome.over:
+        if outcome.over and not doc.over:
             self._end(doc)
-        else:
+        elif not doc.over:
             self._resume(now, doc, outcome)
 
     def withdrawn(self, now: float, doc_id: str) -> None:
         """The client gave the document up."""
-        doc = self._held.get(doc_id)
-        if doc:
-            self._end(doc)
+        if doc_id in self._held:
+            self._end(self._held[doc_id])
 
     def turn(self, now: float) -> None:
         """Ends the events of one time: gives up what is out of reach, then fills the places that are free."""
@@ -319,6 +330,10 @@
             if not doc.over and doc.out is None:
                 doc.destination.line.remove(doc)
                 self._resume(now, doc, None)
+        if now >= self._ask_at:
+            self._ask_at = float("inf")
+            self._host.subscribe()
+        self._wake(now, self._ask_at)
         self._make_room(now)
         self._fill(now)
         if self._ends:
@@ -334,7 +349,7 @@
             if place is None:                       # the time left no longer covers a call
                 break
             outcome = yield place
-            if outcome.kind == CANCELLED or not self._repeatable(doc):
+            if outcome.kind == CANCELLED or doc.doubt and doc.kind.effect == BINDING:
                 break
             if outcome.kind == UNSENT:              # it never left: no evidence, no repeat
                 pause = PAUSE_MS
@@ -353,7 +368,7 @@
             return
         if isinstance(wish, float):
             doc.ready_at = now + wish
-            insort(doc.destination.line, doc)
+            insort(doc.destination.line, doc, key=lambda each: each.order)
             heapq.heappush(self._ends, (self._last_call(doc), doc.order, doc))
         else:
             self._transmit(now, doc, *wish)
@@ -374,40 +389,54 @@
         return False
 
     def _transmit(self, now: float, doc: Document, route: Route, ep: Endpoint) -> None:
-        dest, joins = doc.destination, 0 < ep.joined < route.per_call
+        dest = doc.destination
         dest.turn = ep.number + 1
         if doc.repeats:
             dest.tokens -= 1.0
         dest.tokens = min(TOKENS, dest.tokens + TOKEN_PER_TRANSMISSION)
-        if joins:
-            ep.joined += 1
-        else:
-            ep.joined = 1
-            self._joined.append(ep)
-            if len(ep.calls) % self._set.calls_per_connection == 0:    # it takes a connection
-                if ep.idle and self._idle.stale(now, now - ep.idle[0]):
-                    self._host.close_idle(ep.name)
-                    ep.idle.clear()
-                doc.idle_ms = now - ep.idle.pop() if ep.idle else 0.0
-            self._out += 1
-            ep.calls.append(now)
-            dest.out += 1
-            route.credit = max(0.0, route.credit - 1.0)
-            ep.credit -= 1.0
-            if ep.ill:
-                route.trials_out += 1
-        doc.out, doc.sent = (route, ep, now, not joins), doc.sent + 1
+        if not ep.joinable(route):
+            ep.call = self._dial(now, dest, route, ep)
+            self._dialled.append(ep)
+        ep.call.docs += 1
+        doc.out, doc.sent = ep.call, doc.sent + 1
         self._host.transmit(doc.id, ep.name, min(self._patience(ep, doc), doc.expiry - now))
 
+    def _dial(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> Call:
+        """Takes a slot and a place, and a connection that is no longer than safe idle."""
+        idle_ms = 0.0
+        if len(ep.calls) % self._set.calls_per_connection == 0:
+            if ep.idle and self._idle.stale(now, now - ep.idle[0]):
+                self._host.close_idle(ep.name)
+                ep.idle.clear()
+            idle_ms = now - ep.idle.pop() if ep.idle else 0.0
+        self._out += 1
+        dest.out += 1
+        ep.calls.append(now)
+        route.trials_out += ep.ill
+        for meter in (route.meter, ep.meter):
+            meter.credit = max(0.0, meter.credit - 1.0)
+        return Call(route, ep, now, idle_ms)
+
+    def _hang_up(self, now: float, dest: Destination, call: Call, kind: str) -> None:
+        """Gives slot, place and connection back."""
+        self._out -= 1
+        dest.out -= 1
+        call.ep.calls.remove(call.sent_at)
+        call.route.trials_out -= call.trial
+        if kind in (OK, our.ERROR, FULL, our.RESET):
+            self._idle.learn(now, call.idle_ms, kind == our.RESET)
+            if kind != our.RESET and len(call.ep.calls) % self._set.calls_per_connection == 0:
+                call.ep.idle.append(now)
+
     def _finish(self, doc: Document) -> None:
         """The final answer: rejected if the client may safely come again, else abandoned."""
         if doc.over:
             return
         bound = doc.kind.effect == BINDING or doc.kind.effect == NUMBERED and doc.kind.one_zone
-        if not (doc.doubt and bound):
-            self._host.reject(doc.id, self._set.retry_after_ms)
-        else:
+        if doc.doubt and bound:
             self._host.abandon(doc.id)
+        else:
+            self._host.reject(doc.id, self._set.retry_after_ms)
         self._end(doc)
 
     def _end(self, doc: Document) -> None:
@@ -423,20 +452,20 @@
     def _fill(self, now: float) -> None:
         """Work waits in line; while slots are free the best document that has a place goes."""
         best: dict[int, tuple] = {}
-        waiting = [dest for dest in self._destinations.values() if dest.line]
-        for dest in waiting:
-            self._look(now, dest, best)
+        for dest in self._destinations.values():
+            if dest.line:
+                self._look(now, dest, best)
         while best:
             number = max(best, key=lambda key: best[key][0] / (best[key][3].recent_ms + CALL_MS) ** 0.5)
             _, doc, route, ep = best.pop(number)
             dest = doc.destination
-            if self._out < self._set.slots or 0 < ep.joined < route.per_call:
+            if self._out < self._set.slots or ep.joinable(route):
                 dest.line.remove(doc)
                 self._resume(now, doc, (route, ep))
                 self._look(now, dest, best)
-        for ep in self._joined:
-            ep.joined = 0
-        self._joined.clear()
+        for ep in self._dialled:
+            ep.call = None
+        self._dialled.clear()
 
     def _look(self, now: float, dest: Destination, best: dict[int, tuple]) -> None:
         """Finds the best document of one line that has a place."""
@@ -467,39 +496,31 @@
     def _places(self, now: float, dest: Destination) -> list[tuple[Route, Endpoint]]:
         """The free places at this destination, best first."""
         joinable = [(route, ep) for route in dest.routes for ep in route.endpoints
-                    if 0 < ep.joined < route.per_call]
+                    if ep.joinable(route)]
         if joinable and not joinable[0][1].ill:
             return joinable
-        if self._out >= self._set.slots:
-            return []
-        window = min(dest.window, dest.half) if dest.troubled(now) else dest.window
-        if dest.out >= int(window):
-            return []
-        if dest.troubled(now):
+        window = dest.window
+        if dest.troubled(now):      # several sick destinations must not fill the slots together
             sick = sum(each.out for each in self._destinations.values() if each.troubled(now))
-            if sick >= max(1, int(dest.half * SICK_PART)):
-                return []   # several sick destinations must not fill the slots together
+            window = min(window, dest.half) if sick < max(1, int(dest.half * SICK_PART)) else 0.0
+        if self._out >= self._set.slots or dest.out >= int(window):
+            return []
         places, trials = [], []
         for route in dest.routes:
-            if now < route.wait_until:
-                self._wake(now, route.wait_until)
-                continue
-            ready_at = route.ready_at(now)
-            if ready_at > now:
-                self._wake(now, ready_at)
+            wait_ms = route.wait_ms(now)
+            if wait_ms > 0.0:
+                self._wake(now, now + wait_ms)
                 continue
             for ep in route.endpoints:
-                if ep.state != READY or ep.places is not None and len(ep.calls) >= int(ep.places):
+                if ep.state != READY or len(ep.calls) + 1 > ep.places:
                     continue
-                if ep.ill:
+                if ep.ill and now < route.trial_at:
+                    self._wake(now, route.trial_at)
+                elif ep.ill and not route.trials_out:
                     trials.append((route, ep))
-                elif self._ramped(now, route, ep):
+                elif not ep.ill and self._ramped(now, route, ep):
                     places.append((len(ep.calls), (ep.number - dest.turn) % 64, route, ep))
-        for route, _ in trials:
-            if not route.trials_out and now < route.trial_at:
-                self._wake(now, route.trial_at)
-        due = [(route, ep) for route, ep in trials if not route.trials_out and now >= route.trial_at]
-        return due + [place[2:] for place in sorted(places, key=lambda place: place[:2])]
+        return trials + [place[2:] for place in sorted(places, key=lambda place: place[:2])]
 
     def _ramped(self, now: float, route: Route, ep: Endpoint) -> bool:
         """An endpoint that came back is cold: it gets what it took before, or this sender's part of a known
@@ -513,12 +534,10 @@
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
         part = route.limit / self._set.senders / sum(each.state == READY for each in route.endpoints)
         rate = max(LEAST_PACE, ep.before, part) * share
-        ep.credit = min(1.0, ep.credit + (now - ep.credit_at) * rate / 1000.0)
-        ep.credit_at = now
-        if ep.credit >= 0.999:
-            return True
-        self._wake(now, now + (1.0 - ep.credit) * 1000.0 / rate)
-        return False
+        wait_ms = ep.meter.wait_ms(now, rate, 1.0)
+        if wait_ms > 0.0:
+            self._wake(now, now + wait_ms)
+        return wait_ms <= 0.0
 
     def _make_room(self, now: float) -> None:
         """Held documents are finite: the longest line gives up its least worthy one, to leave room."""
@@ -532,9 +551,8 @@
 
     # What outcomes teach
 
-    def _learn(self, now: float, dest: Destination, route: Route, ep: Endpoint, sent_at: float,
-               outcome: our.Outcome) -> None:
-        kind = outcome.kind
+    def _learn(self, now: float, dest: Destination, call: Call, outcome: our.Outcome) -> None:
+        kind, route, ep = outcome.kind, call.route, call.ep
         if outcome.limit:
             route.limit, route.room, route.room_at = outcome.limit, outcome.room or 0.0, now
         little = kind == FULL or outcome.limit and route.room < LITTLE_ROOM
@@ -544,19 +562,15 @@
             route.cut(now, 0.5 / self._set.senders)
         elif kind == OK:
             route.grow(now, 1.0 if outcome.limit else GUESSED_TOP)
-        if kind in (UNSENT, CANCELLED):
-            return
-        if ep.ill and route.trials_out:
-            route.trials_out -= 1
         if kind == OK:
             self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
         dest.window = max(1.0, dest.window / 2.0)
-        if kind == CONNECT_FAILED and ep.calls and ep.ok_at >= sent_at:
+        if kind == CONNECT_FAILED and ep.calls and ep.ok_at >= call.sent_at:
             ep.places = float(len(ep.calls))        # others were served meanwhile: its connections are taken
             return
         if kind == FULL:
-            route.credit = min(route.credit, 0.0)   # the next call a full step later
+            route.meter.empty(now)                  # the next call a full step later
         if ep.streak == 0:
             ep.failed_at = now
         ep.streak += 1
@@ -587,19 +601,16 @@
         ep.doubtful *= 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
-        if ep.places is not None:
-            ep.places += 0.05
+        ep.places += 0.05
         if ep.ill:
             route.trial_at, route.trial_ms = now, TRIAL_MS
             if ep.failing <= ILL_SHARE:
-                ep.ill, ep.back_at, ep.credit, ep.credit_at = False, now, 0.0, now
+                ep.ill, ep.back_at = False, now
+                ep.meter.empty(now)
                 self._host.log(f"destination {dest.number}: endpoint back, {ep.before:.1f} calls/s before")
 
     # Small matters
 
-    def _repeatable(self, doc: Document) -> bool:
-        return not doc.doubt or doc.kind.effect != BINDING
-
     def _patience(self, ep: Endpoint, doc: Document) -> float:
         """Time-outs follow observed answer times; nothing seen yet: the agreed time."""
         seen = max(ep.usual_ms, ep.recent_ms)
@@ -614,20 +625,16 @@
         return end
 
     def _destination(self, number: int) -> Destination:
-        if number not in self._destinations:
-            self._destinations[number] = Destination(number, self._set.slots)
-        return self._destinations[number]
+        return self._destinations.setdefault(number, Destination(number, self._set.slots))
 
     def _join(self, now: float, entry: our.Endpoint) -> None:
         dest = self._destination(entry.destination)
         if not dest.routes or self._set.routes_apart[entry.kind]:
             rate = entry.rate if self._set.rates_listed else 0.0
             dest.routes.append(Route(self._set.per_call[entry.kind], rate, now))
-        route = dest.routes[-1]
-        ep = Endpoint(entry.name, entry.zone, now)
-        ep.number = sum(len(each.endpoints) for each in dest.routes)
-        route.endpoints.append(ep)
-        self._endpoints[entry.name] = route, ep
+        number = sum(len(each.endpoints) for each in dest.routes)
+        dest.routes[-1].endpoints.append(Endpoint(entry.name, entry.zone, number, now))
+        self._endpoints[entry.name] = dest.routes[-1], dest.routes[-1].endpoints[-1]
 
     def _wake(self, now: float, when: float) -> None:
         """One alarm for all that waits."""
