--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -24,7 +24,8 @@
 PAUSE_MS, LONGEST_PAUSE_MS = 100.0, 2000.0     # full jitter
 NEVER_RAN = (FULL, CONNECT_FAILED, UNSENT)     # outcomes that prove that the document had no effect
 LEAST_PATIENCE_MS = 2000.0                     # no time-out below this: destinations pause and stall
-PATIENCE = 8.0                                 # a time-out is this many usual answer times
+PATIENCE, HASTY = 8.0, 5.0                     # a time-out is so many usual answer times; while slots are
+SCARCE = 0.75                                  # scarce, that is such a share of them taken: the hasty one
 STREAK = 3                                     # failures in a row that make an endpoint ill
 ILL_SHARE = 0.5                                # or this share of recent calls failing
 DOUBT_SHARE = 0.25                             # share of calls in doubt above which binding ones wait
@@ -614,8 +615,10 @@
     def _patience(self, ep: Endpoint, doc: Document) -> float:
         """Time-outs follow observed answer times; nothing seen yet: the agreed time."""
         seen = max(ep.usual_ms, ep.recent_ms)
-        patience = max(LEAST_PATIENCE_MS, PATIENCE * seen if seen else doc.kind.agreed_ms)
-        return patience * 2.0 if doc.kind.effect == BINDING else patience
+        scarce = self._out >= self._set.slots * SCARCE
+        patience = (HASTY if scarce else PATIENCE) * seen if seen else doc.kind.agreed_ms
+        patience = max(LEAST_PATIENCE_MS, patience)
+        return patience * (1.5 if scarce else 2.0) if doc.kind.effect == BINDING else patience
 
     def _last_call(self, doc: Document) -> float:
         """The last moment at which a transmission may still help."""
