--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -98,8 +98,8 @@
 class Meter:
     """Spaces calls out: credit grows with a rate and pays for calls."""
 
-    def __init__(self, now: float) -> None:
-        self.credit, self._at = 1.0, now
+    def __init__(self, now: float, credit: float = 1.0) -> None:
+        self.credit, self._at = credit, now
 
     def wait_ms(self, now: float, rate: float, most: float) -> float:
         """How long until the next call is paid for, at so many calls a second."""
@@ -107,9 +107,6 @@
         self._at = now
         return 0.0 if self.credit >= 0.999 else (1.0 - self.credit) * 1000.0 / rate
 
-    def empty(self, now: float) -> None:
-        self.credit, self._at = 0.0, now
-
 
 class Endpoint:
     """One endpoint: its calls out and its health."""
@@ -220,17 +217,6 @@
         self.keyline: Keyline | None = None
         self.path: Generator | None = None
 
-    def worth(self, now: float, halving: bool) -> float:
-        """Share of its value that it would earn if transmitted now."""
-        kind = self.kind
-        late = now - self.taken - kind.agreed_ms
-        if late <= 0:
-            return 1.0
-        if halving:
-            return max(kind.late_share, 0.5 ** (late / kind.agreed_ms))
-        span = max(kind.expiry_ms - kind.agreed_ms, 1.0)
-        return 1.0 - (1.0 - kind.late_share) * min(1.0, late / span)
-
 
 class Keyline:
     """Documents of one key, in the order taken; one at a time, with a rest after doubt."""
@@ -355,10 +341,9 @@
             if outcome.kind == UNSENT:              # it never left: no evidence, no repeat
                 pause = PAUSE_MS
                 continue
-            pause = self._draw(0.0, min(LONGEST_PAUSE_MS, PAUSE_MS * 2.0 ** doc.repeats))
+            longest = 0.0 if outcome.wait_ms > 0 else LONGEST_PAUSE_MS  # a told wait replaces the draw
+            pause = self._draw(0.0, min(longest, PAUSE_MS * 2.0 ** doc.repeats))
             doc.repeats += 1
-            if outcome.wait_ms > 0:                 # a told wait replaces the draw and holds the line
-                pause = 0.0
         self._finish(doc)
 
     def _resume(self, now: float, doc: Document, word: object) -> None:
@@ -380,9 +365,7 @@
         """True if a rule forbids this transmission."""
         if doc.over or doc.out or now >= doc.expiry or ep.state != READY or now < route.wait_until:
             return True
-        if doc.keyline and not doc.keyline.allows(doc, now):
-            return True
-        if doc.doubt and doc.kind.effect == BINDING:
+        if doc.keyline and not doc.keyline.allows(doc, now) or doc.doubt and doc.kind.effect == BINDING:
             return True
         if doc.doubt and doc.kind.effect == NUMBERED:
             since, zone = doc.doubt[0]
@@ -392,9 +375,7 @@
     def _transmit(self, now: float, doc: Document, route: Route, ep: Endpoint) -> None:
         dest = doc.destination
         dest.turn = ep.number + 1
-        if doc.repeats:
-            dest.tokens -= 1.0
-        dest.tokens = min(TOKENS, dest.tokens + TOKEN_PER_TRANSMISSION)
+        dest.tokens = min(TOKENS, dest.tokens - (doc.repeats > 0) + TOKEN_PER_TRANSMISSION)
         if not ep.joinable(route):
             ep.call = self._dial(now, dest, route, ep)
             self._dialled.append(ep)
@@ -426,13 +407,11 @@
         call.route.trials_out -= call.trial
         if kind in (OK, our.ERROR, FULL, our.RESET):
             self._idle.learn(now, call.idle_ms, kind == our.RESET)
-            if kind != our.RESET and len(call.ep.calls) % self._set.calls_per_connection == 0:
-                call.ep.idle.append(now)
+        if kind in (OK, our.ERROR, FULL) and len(call.ep.calls) % self._set.calls_per_connection == 0:
+            call.ep.idle.append(now)
 
     def _finish(self, doc: Document) -> None:
         """The final answer: rejected if the client may safely come again, else abandoned."""
-        if doc.over:
-            return
         bound = doc.kind.effect == BINDING or doc.kind.effect == NUMBERED and doc.kind.one_zone
         if doc.doubt and bound:
             self._host.abandon(doc.id)
@@ -482,7 +461,7 @@
                 self._wake(now, doc.keyline.rest_until)
             if doc.repeats and dest.tokens < 1.0:
                 continue
-            rank = doc.worth(now, self._set.halving) * doc.kind.value
+            rank = self._value(now, doc)
             if found and rank <= found[0]:
                 continue
             for route, ep in places:
@@ -544,11 +523,10 @@
         """Held documents are finite: the longest line gives up its least worthy one, to leave room."""
         while len(self._held) >= self._set.max_held:
             dest = max(self._destinations.values(), key=lambda each: (len(each.line), -each.number))
-            docs = [doc for doc in dest.line if not doc.doubt]
+            docs = [(self._value(now, doc), doc.order, doc) for doc in dest.line if not doc.doubt]
             if not docs:
                 return
-            halving = self._set.halving
-            self._finish(min(docs, key=lambda doc: (doc.worth(now, halving) * doc.kind.value, doc.order)))
+            self._finish(min(docs)[2])
 
     # What outcomes teach
 
@@ -571,7 +549,7 @@
             ep.places = float(len(ep.calls))        # others were served meanwhile: its connections are taken
             return
         if kind == FULL:
-            route.meter.empty(now)                  # the next call a full step later
+            route.meter.credit = 0.0                # the next call a full step later
         if ep.streak == 0:
             ep.failed_at = now
         ep.streak += 1
@@ -606,8 +584,7 @@
         if ep.ill:
             route.trial_at, route.trial_ms = now, TRIAL_MS
             if ep.failing <= ILL_SHARE:
-                ep.ill, ep.back_at = False, now
-                ep.meter.empty(now)
+                ep.ill, ep.back_at, ep.meter = False, now, Meter(now, 0.0)
                 self._host.log(f"destination {dest.number}: endpoint back, {ep.before:.1f} calls/s before")
 
     # Small matters
@@ -620,6 +597,15 @@
         patience = max(LEAST_PATIENCE_MS, patience)
         return patience * (1.5 if scarce else 2.0) if doc.kind.effect == BINDING else patience
 
+    def _value(self, now: float, doc: Document) -> float:
+        """The value that the document would earn if transmitted now."""
+        kind = doc.kind
+        late = max(0.0, now - doc.taken - kind.agreed_ms)
+        if self._set.halving:
+            return kind.value * max(kind.late_share, 0.5 ** (late / kind.agreed_ms))
+        span = max(kind.expiry_ms - kind.agreed_ms, 1.0)
+        return kind.value * (1.0 - (1.0 - kind.late_share) * min(1.0, late / span))
+
     def _last_call(self, doc: Document) -> float:
         """The last moment at which a transmission may still help."""
         end = doc.expiry - CALL_MS
