--- a/birchstack/adapter/settings.py
+++ b/birchstack/adapter/settings.py
@@ -27,8 +27,7 @@
         routes_apart=tuple(domain.get("routesApart") or [False] * kinds),
         halving=domain.get("losesWorth") == "halving",
         rates_listed=config.get("weightSource") in ("nominal", "rough"),
-        list_on_request=config["registryMode"] == "on_request", ask_every_ms=rules.get("askEveryMs") or 0.0,
+        list_on_request=config["registryMode"] == "on_request",
         retry_after_ms=limits.get("maxRetryAfterMs") or 0.0 if limits.get("retryAfter") else 0.0,
-        fall_multiple=rules["fallMultiple"], fall_ms=rules["overloadForMs"],
         cold_share=rules["coldFrom"], warm_up_ms=rules["warmUpMs"],
         key_rest_ms=rules.get("settleAfterDoubtMs") or 0.0)
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -33,7 +33,6 @@
 SLOW = 3.0                                     # answers this many times slower than usual: slow
 OVERDUE_MS, OVERDUE = 1000.0, 4.0              # so is a call out so long, and so many usual answer times
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
-RAMP = 0.65                                    # of what would push a returning destination over
 SHARE_CUT, SHARE_STEP = 0.8, 0.3              # the share of a limit: cut, and growth a second
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
 ROOM_MS = 1000.0                               # a report of room is believed for so long
@@ -514,7 +513,7 @@
             return True
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
         part = route.limit / self._set.senders / sum(each.state == READY for each in route.endpoints)
-        rate = max(LEAST_PACE, ep.before, part) * share * self._set.fall_multiple * RAMP
+        rate = max(LEAST_PACE, ep.before, part) * share
         wait_ms = ep.meter.wait_ms(now, rate, 1.0)
         if wait_ms > 0.0:
             self._wake(now, now + wait_ms)
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -43,10 +43,7 @@
     halving: bool
     rates_listed: bool
     list_on_request: bool
-    ask_every_ms: float
     retry_after_ms: float
-    fall_multiple: float
-    fall_ms: float
     cold_share: float
     warm_up_ms: float
     key_rest_ms: float
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -17,8 +17,7 @@
         words = dict(types=TYPES, slots=8, max_held=50, max_transmissions=6, senders=2,
                      calls_per_connection=1, per_call=(1,), routes_apart=(False,),
                      halving=False, rates_listed=False, list_on_request=False,
-                     ask_every_ms=0.0, retry_after_ms=3000.0, fall_multiple=1.5, fall_ms=2000.0,
-                     cold_share=0.3, warm_up_ms=10000.0, key_rest_ms=1000.0)
+                     retry_after_ms=3000.0, cold_share=0.3, warm_up_ms=10000.0, key_rest_ms=1000.0)
         self.now, self.calls, self.said, self.alarms, self.logs, self.closed = 0.0, [], [], [], [], []
         self.number, self.ended = {}, set()
         self.sender = Sender(our.Settings(**{**words, **settings}), 7, self)
