--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -31,7 +31,6 @@
 DOUBT_SHARE = 0.25                             # share of calls in doubt above which binding ones wait
 SICK_PART = 0.5                                # of half the slots, for all sick destinations together
 SLOW = 3.0                                     # answers this many times slower than usual: slow
-ALL_SLOW = 0.4                                 # with more than this share of endpoints slow, it is not they
 OVERDUE_MS, OVERDUE = 1000.0, 4.0              # so is a call out so long, and so many usual answer times
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
 SHARE_CUT, SHARE_STEP = 0.8, 0.3              # the share of a limit: cut, and growth a second
@@ -188,9 +187,8 @@
         self.out = 0                    # calls out
         self.turn = 0                   # for taking endpoints in turn
 
-    def sick(self, now: float, all_slow: bool) -> bool:
-        """True if an endpoint is ill, or slow by its own doing."""
-        return any(ep.state == READY and (ep.ill or not all_slow and ep.slow(now))
+    def troubled(self, now: float) -> bool:
+        return any(ep.state == READY and (ep.ill or ep.slow(now))
                    for route in self.routes for ep in route.endpoints)
 
 
@@ -247,7 +245,7 @@
         self._keys: dict[str, Keyline] = {}
         self._ends: list[tuple[float, int, Document]] = []
         self._order = self._out = 0
-        self._alarm, self._all_slow = float("inf"), False
+        self._alarm = float("inf")
         self._idle = Idle()
         self._dialled: list[Endpoint] = []
         self._ask_at = 0.0 if settings.list_on_request else float("inf")
@@ -434,8 +432,6 @@
     def _fill(self, now: float) -> None:
         """Work waits in line; while slots are free the best document that has a place goes."""
         best: dict[int, tuple] = {}
-        slow = [ep.slow(now) for _, ep in self._endpoints.values() if ep.state == READY and ep.usual_ms]
-        self._all_slow = sum(slow) > len(slow) * ALL_SLOW  # then it is none of their doing
         for dest in self._destinations.values():
             if dest.line:
                 self._look(now, dest, best)
@@ -484,8 +480,8 @@
         if joinable and not joinable[0][1].ill:
             return joinable
         window = dest.window
-        if dest.sick(now, self._all_slow):     # several sick destinations must not fill the slots together
-            sick = sum(each.out for each in self._destinations.values() if each.sick(now, self._all_slow))
+        if dest.troubled(now):      # several sick destinations must not fill the slots together
+            sick = sum(each.out for each in self._destinations.values() if each.troubled(now))
             window = min(window, dest.half) if sick < max(1, int(dest.half * SICK_PART)) else 0.0
         if self._out >= self._set.slots or dest.out >= int(window):
             return []
@@ -574,7 +570,7 @@
         self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
 
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
-        dest.window = min(float(dest.half if dest.sick(now, self._all_slow) else dest.top), dest.window + 1.0)
+        dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
         ep.served.add(now)
         if not ep.ill and ep.back_at is None:
