--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -21,6 +21,7 @@
 from birchstack.interface import BINDING, CANCELLED, CONNECT_FAILED, FULL, NUMBERED, OK, READY, UNSENT
 
 TOKENS, TOKEN_PER_TRANSMISSION = 10.0, 0.1     # the bucket that pays for repeats
+REPEAT_SHARE, SPARE_REPEATS = 0.25, 0.5        # most repeats for each first try, and a second besides
 PAUSE_MS, LONGEST_PAUSE_MS = 100.0, 2000.0     # full jitter
 NEVER_RAN = (FULL, CONNECT_FAILED, UNSENT)     # outcomes that prove that the document had no effect
 LEAST_PATIENCE_MS = 2000.0                     # no time-out below this: destinations pause and stall
@@ -246,6 +247,7 @@
         self._ends: list[tuple[float, int, Document]] = []
         self._order = self._out = 0
         self._alarm = float("inf")
+        self._firsts, self._repeats, self._repeats_held = Ring(0.0), Ring(0.0), False
         self._idle = Idle()
         self._dialled: list[Endpoint] = []
         self._ask_at = 0.0 if settings.list_on_request else float("inf")
@@ -375,6 +377,7 @@
     def _transmit(self, now: float, doc: Document, route: Route, ep: Endpoint) -> None:
         dest = doc.destination
         dest.turn = ep.number + 1
+        (self._repeats if doc.repeats else self._firsts).add(now)
         dest.tokens = min(TOKENS, dest.tokens - (doc.repeats > 0) + TOKEN_PER_TRANSMISSION)
         if not ep.joinable(route):
             ep.call = self._dial(now, dest, route, ep)
@@ -432,6 +435,11 @@
     def _fill(self, now: float) -> None:
         """Work waits in line; while slots are free the best document that has a place goes."""
         best: dict[int, tuple] = {}
+        # many buckets that start full could together repeat more than the bound that the design claims
+        most = self._firsts.rate(now) * REPEAT_SHARE + SPARE_REPEATS
+        self._repeats_held = self._repeats.rate(now) > most
+        if self._repeats_held:
+            self._wake(now, now + BUCKET_MS)
         for dest in self._destinations.values():
             if dest.line:
                 self._look(now, dest, best)
@@ -459,7 +467,7 @@
                 continue
             if doc.keyline and doc.keyline.rest_until > now:
                 self._wake(now, doc.keyline.rest_until)
-            if doc.repeats and dest.tokens < 1.0:
+            if doc.repeats and (dest.tokens < 1.0 or self._repeats_held):
                 continue
             rank = self._value(now, doc)
             if found and rank <= found[0]:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -66,3 +66,16 @@
     story.at(age)
     story.take("f")
     assert len(story.calls) == sent
+
+
+def test_repeats_stay_under_the_bound_though_many_buckets_start_full():
+    story = Story(slots=40)
+    for number in range(2, 40):
+        story.listed([f"z{number}"], our.CHANGES, destination=number)
+        story.take(f"d{number}", destination=number)
+    for number in range(2, 40):
+        if story.tries(f"d{number}"):
+            story.ends(f"d{number}", our.FULL, 0.0)
+    story.at(1500.0)
+    repeats = sum(count for count in story.number.values())
+    assert 0 < repeats <= len(story.number) / 3.0
