--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -572,7 +572,9 @@
             self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
 
     def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Endpoint, why: str) -> None:
-        ep.ill, ep.back_at = True, None
+        for each in route.endpoints:    # a shut destination is shut at all its endpoints
+            if each is ep or why == FULL and each.ok_at < ep.failed_at:
+                each.ill, each.back_at = True, None
         route.trial_ms = TRIAL_MS
         route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
         self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
