--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -434,6 +434,8 @@
 
     def _fill(self, now: float) -> None:
         """Work waits in line; while slots are free the best document that has a place goes."""
+        if self._out >= self._set.slots:            # an outcome brings the next turn
+            return
         best: dict[int, tuple] = {}
         # many buckets that start full could together repeat more than the bound that the design claims
         most = self._firsts.rate(now) * REPEAT_SHARE + SPARE_REPEATS
@@ -489,7 +491,7 @@
             return joinable
         window = dest.window
         if dest.troubled(now):      # several sick destinations must not fill the slots together
-            sick = sum(each.out for each in self._destinations.values() if each.troubled(now))
+            sick = sum(each.out for each in self._destinations.values() if each.out and each.troubled(now))
             window = min(window, dest.half) if sick < max(1, int(dest.half * SICK_PART)) else 0.0
         if self._out >= self._set.slots or dest.out >= int(window):
             return []
