Close idle connections after use for 20 s after a failed connect; no counting of places

Cause: endpoints take few connections, idle ones counted; many senders' idle ones shut the others out. Also covers any table that idle connections fill; hurts by handshakes while endpoints are down. Replaces the count of places (overlapping).

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -45,6 +45,7 @@
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
 STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
+CROWDED_MS = 20000.0                           # after a failed connection none is kept idle for so long
 BUCKET_MS, BUCKETS = 1000.0, 8                 # the ring in which served calls are counted
 
 
@@ -116,7 +117,6 @@
         self.name, self.zone, self.number, self.state = name, zone, number, READY
         self.calls: list[float] = []    # when each call that is out was sent
         self.idle: list[float] = []     # since when each idle connection lies idle
-        self.places = float("inf")      # connections it seems to allow, once one was denied
         self.streak, self.failed_at = 0, now    # failures in a row, and when they began
         self.ok_at = -1.0               # when it last served
         self.failing = self.doubtful = 0.0  # moving shares of calls failed, and of calls left in doubt
@@ -214,8 +214,7 @@
         self.sent = self.repeats = 0    # transmissions, and those that the bucket paid for
         self.out: Call | None = None
         self.doubt: list[tuple[float, str]] = []    # transmissions that may have run: time and zone
-        self.over = False
-        self.keyline: Keyline | None = None
+        self.over, self.keyline = False, None
         self.path: Generator | None = None
 
 
@@ -248,7 +247,7 @@
         self._order = self._out = 0
         self._alarm = float("inf")
         self._firsts, self._repeats, self._repeats_held = Ring(0.0), Ring(0.0), False
-        self._idle = Idle()
+        self._idle, self._crowded_until = Idle(), 0.0
         self._dialled: list[Endpoint] = []
         self._ask_at = 0.0 if settings.list_on_request else float("inf")
 
@@ -312,8 +311,7 @@
 
     def turn(self, now: float) -> None:
         """Ends the events of one time: gives up what is out of reach, then fills the places that are free."""
-        if now >= self._alarm:
-            self._alarm = float("inf")
+        self._alarm = self._alarm if now < self._alarm else float("inf")
         while self._ends and (self._ends[0][2].over or self._ends[0][0] <= now):
             doc = heapq.heappop(self._ends)[2]
             if not doc.over and doc.out is None:
@@ -412,6 +410,10 @@
             self._idle.learn(now, call.idle_ms, kind == our.RESET)
         if kind in (OK, our.ERROR, FULL) and len(call.ep.calls) % self._set.calls_per_connection == 0:
             call.ep.idle.append(now)
+            # connections are limited and idle ones count: kept by many senders they shut all others out
+            if now < self._crowded_until and not dest.line:
+                self._host.close_idle(call.ep.name)
+                call.ep.idle.clear()
 
     def _finish(self, doc: Document) -> None:
         """The final answer: rejected if the client may safely come again, else abandoned."""
@@ -502,7 +504,7 @@
                 self._wake(now, now + wait_ms)
                 continue
             for ep in route.endpoints:
-                if ep.state != READY or len(ep.calls) + 1 > ep.places:
+                if ep.state != READY:
                     continue
                 if ep.ill and now < route.trial_at:
                     self._wake(now, route.trial_at)
@@ -555,13 +557,13 @@
             self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
         dest.window = max(1.0, dest.window / 2.0)
-        if kind == CONNECT_FAILED and ep.calls and ep.ok_at >= call.sent_at:
-            ep.places = float(len(ep.calls))        # others were served meanwhile: its connections are taken
-            return
+        if kind == CONNECT_FAILED:
+            self._crowded_until = now + CROWDED_MS
+            if ep.calls and ep.ok_at >= call.sent_at:
+                return                              # others were served meanwhile: its connections are taken
         if kind == FULL:
             route.meter.credit = 0.0                # the next call a full step later
-        if ep.streak == 0:
-            ep.failed_at = now
+        ep.failed_at = ep.failed_at if ep.streak else now
         ep.streak += 1
         ep.failing += 0.2 * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
@@ -588,11 +590,9 @@
         if not ep.ill and ep.back_at is None:
             ep.before = ep.served.rate(now)
         ep.streak, ep.ok_at = 0, now
-        ep.failing *= 0.8
-        ep.doubtful *= 0.8
+        ep.failing, ep.doubtful = ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
-        ep.places += 0.05
         if ep.ill:
             route.trial_at, route.trial_ms = now, TRIAL_MS
             if ep.failing <= ILL_SHARE:
