--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -249,6 +249,7 @@
         self._firsts, self._repeats, self._repeats_held = Ring(0.0), Ring(0.0), False
         self._idle, self._crowded_until = Idle(), 0.0
         self._dialled: list[Endpoint] = []
+        self._lying: dict[str, Endpoint] = {}       # endpoints with idle connections
         self._ask_at = 0.0 if settings.list_on_request else float("inf")
 
     # Events
@@ -270,7 +271,7 @@
                  key: str | None) -> None:
         """A new document."""
         self._order += 1
-        dest = self._destination(destination)
+        dest = self._destinations.setdefault(destination, Destination(destination, self._set.slots))
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order)
         if key is not None and doc.kind.in_order:
             doc.keyline = self._keys.setdefault(key, Keyline())
@@ -323,6 +324,12 @@
         self._wake(now, self._ask_at)
         self._make_room(now)
         self._fill(now)
+        while self._lying and now < self._crowded_until:
+            # connections are limited and idle ones count: kept by many senders they shut all others out
+            name, ep = self._lying.popitem()
+            if ep.idle:
+                self._host.close_idle(name)
+                ep.idle.clear()
         if self._ends:
             self._wake(now, self._ends[0][0])
 
@@ -410,10 +417,7 @@
             self._idle.learn(now, call.idle_ms, kind == our.RESET)
         if kind in (OK, our.ERROR, FULL) and len(call.ep.calls) % self._set.calls_per_connection == 0:
             call.ep.idle.append(now)
-            # connections are limited and idle ones count: kept by many senders they shut all others out
-            if now < self._crowded_until and not dest.line:
-                self._host.close_idle(call.ep.name)
-                call.ep.idle.clear()
+            self._lying[call.ep.name] = call.ep
 
     def _finish(self, doc: Document) -> None:
         """The final answer: rejected if the client may safely come again, else abandoned."""
@@ -625,11 +629,9 @@
             end = min(end, doc.doubt[0][0] + doc.kind.window_ms)
         return end
 
-    def _destination(self, number: int) -> Destination:
-        return self._destinations.setdefault(number, Destination(number, self._set.slots))
-
     def _join(self, now: float, entry: our.Endpoint) -> None:
-        dest = self._destination(entry.destination)
+        number = entry.destination
+        dest = self._destinations.setdefault(number, Destination(number, self._set.slots))
         if not dest.routes or self._set.routes_apart[entry.kind]:
             rate = entry.rate if self._set.rates_listed else 0.0
             dest.routes.append(Route(self._set.per_call[entry.kind], rate, now))
