Trials and ramps at this sender's own usual rate; one failure tells where documents are few

Trials now come no more often than half the sender's usual documents, ramps follow that rate, by chance. All senders together keep at least two calls a second, so small fleets act as before.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -5,8 +5,7 @@
 Host protocol, same file). Times are milliseconds. The design and its exceptions: docs/design.md.
 
 Reading order: Sender._deliver is the ordinary path of a document. Sender._transmit and Sender._finish
-are the only places that send and answer; every rule is guarded there. Sender._fill picks what goes
-where. Route holds what was learnt of a destination's limit, Endpoint what was learnt of one endpoint.
+are the only places that send and answer; every rule is guarded there. Sender._fill picks what goes where.
 """
 
 from __future__ import annotations
@@ -34,9 +33,11 @@
 SLOW = 3.0                                     # answers this many times slower than usual: slow
 OVERDUE_MS, OVERDUE = 1000.0, 4.0              # so is a call out so long, and so many usual answer times
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
+TRIAL_EVERY = 2000.0                           # or the usual time between so many thousandths of a document
 SHARE_CUT, SHARE_STEP = 0.8, 0.3              # the share of a limit: cut, and growth a second
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
 ROOM_MS = 1000.0                               # a report of room is believed for so long
+LEAST_TOGETHER = 2.0                           # calls a second to a destination, from all senders together
 LEAST_PACE, BURST = 0.5, 0.25                  # calls a second; seconds of the pace that may go at once
 SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
 GUESSED_TOP = 4.0                              # a limit not told may be so many times the rate first seen
@@ -77,8 +78,7 @@
 class Idle:
     """Learns how long a connection may lie idle before something on the way resets its next call.
 
-    Guards against proxies, address translation and destinations that forget idle connections in silence.
-    Where resets after idle time have another cause, it costs handshakes for a while.
+    Guards against proxies and others that forget idle connections; hurts by handshakes for a while.
     """
 
     def __init__(self) -> None:
@@ -118,13 +118,9 @@
         self.calls: list[float] = []    # when each call that is out was sent
         self.idle: list[float] = []     # since when each idle connection lies idle
         self.streak, self.failed_at = 0, now    # failures in a row, and when they began
-        self.ok_at = -1.0               # when it last served
-        self.failing = self.doubtful = 0.0  # moving shares of calls failed, and of calls left in doubt
-        self.ill = False
+        self.ill, self.failing, self.doubtful = False, 0.0, 0.0    # moving shares: failed, left in doubt
         self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
-        self.served = Ring(now)
-        self.before = 0.0               # calls a second served before the trouble
-        self.back_at: float | None = None  # when it answered again after an outage
+        self.ok_at, self.back_at = -1.0, None   # when it last served, and answered again after an outage
         self.meter = Meter(now)         # for the ramp after it
         self.call: Call | None = None   # the call made in this turn, which others may join
 
@@ -147,8 +143,7 @@
 
     def __init__(self, per_call: int, limit: float, now: float) -> None:
         self.endpoints: list[Endpoint] = []
-        self.per_call = per_call
-        self.wait_until = 0.0
+        self.per_call, self.wait_until = per_call, 0.0
         self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
         self.room, self.room_at = 1.0, now
@@ -178,15 +173,19 @@
 class Destination:
     """One destination: its line of documents, the bucket for repeats and the window."""
 
-    def __init__(self, number: int, slots: int) -> None:
-        self.number = number
+    def __init__(self, number: int, settings: our.Settings, now: float) -> None:
+        slots, self.least = settings.slots, LEAST_TOGETHER / settings.senders
+        self.number, self.taken, self.since = number, 0, now
         self.routes: list[Route] = []
         self.line: list[Document] = []
         self.tokens = TOKENS
         self.half, self.top = max(1, slots // 2), max(1, slots * 3 // 4)
         self.window = float(self.half)
-        self.out = 0                    # calls out
-        self.turn = 0                   # for taking endpoints in turn
+        self.out = self.turn = 0        # calls out; for taking endpoints in turn
+
+    def rate(self, now: float) -> float:
+        """Documents a second; the sum over all senders is what the destination usually gets."""
+        return max(self.least, self.taken * 1000.0 / max(now - self.since, BUCKETS * BUCKET_MS))
 
     def troubled(self, now: float) -> bool:
         return any(ep.state == READY and (ep.ill or ep.slow(now))
@@ -214,8 +213,7 @@
         self.sent = self.repeats = 0    # transmissions, and those that the bucket paid for
         self.out: Call | None = None
         self.doubt: list[tuple[float, str]] = []    # transmissions that may have run: time and zone
-        self.over, self.keyline = False, None
-        self.path: Generator | None = None
+        self.over, self.keyline, self.path = False, None, None
 
 
 class Keyline:
@@ -244,12 +242,10 @@
         self._flying: dict[str, Document] = {}      # ended, with a transmission still out
         self._keys: dict[str, Keyline] = {}
         self._ends: list[tuple[float, int, Document]] = []
-        self._order = self._out = 0
-        self._alarm = float("inf")
+        self._order, self._out, self._alarm = 0, 0, float("inf")
         self._firsts, self._repeats, self._repeats_held = Ring(0.0), Ring(0.0), False
         self._idle, self._crowded_until = Idle(), 0.0
-        self._dialled: list[Endpoint] = []
-        self._lying: dict[str, Endpoint] = {}       # endpoints with idle connections
+        self._dialled, self._lying = [], {}         # endpoints called in this turn, with idle connections
         self._ask_at = 0.0 if settings.list_on_request else float("inf")
 
     # Events
@@ -271,7 +267,8 @@
                  key: str | None) -> None:
         """A new document."""
         self._order += 1
-        dest = self._destinations.setdefault(destination, Destination(destination, self._set.slots))
+        dest = self._destinations.setdefault(destination, Destination(destination, self._set, now))
+        dest.taken += 1
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order)
         if key is not None and doc.kind.in_order:
             doc.keyline = self._keys.setdefault(key, Keyline())
@@ -514,13 +511,13 @@
                     self._wake(now, route.trial_at)
                 elif ep.ill and not route.trials_out:
                     trials.append((route, ep))
-                elif not ep.ill and self._ramped(now, route, ep):
+                elif not ep.ill and self._ramped(now, dest, route, ep):
                     places.append((len(ep.calls), (ep.number - dest.turn) % 64, route, ep))
         return trials + [place[2:] for place in sorted(places, key=lambda place: place[:2])]
 
-    def _ramped(self, now: float, route: Route, ep: Endpoint) -> bool:
-        """An endpoint that came back is cold: it gets what it took before, or this sender's part of a known
-        limit, times its share of warmth."""
+    def _ramped(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> bool:
+        """An endpoint that came back is cold: it gets what this sender usually has for it, or its part of a
+        known limit, times its share of warmth; the first call by chance: many come back at once."""
         if ep.back_at is None:
             return True
         warm = (now - ep.back_at) / self._set.warm_up_ms
@@ -528,8 +525,8 @@
             ep.back_at = None
             return True
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
-        part = route.limit / self._set.senders / sum(each.state == READY for each in route.endpoints)
-        rate = max(LEAST_PACE, ep.before, part) * share
+        ready = sum(each.state == READY for each in route.endpoints)
+        rate = max(dest.rate(now), route.limit / self._set.senders) / ready * share
         wait_ms = ep.meter.wait_ms(now, rate, 1.0)
         if wait_ms > 0.0:
             self._wake(now, now + wait_ms)
@@ -571,11 +568,13 @@
         ep.streak += 1
         ep.failing += 0.2 * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
-        sibling_ill = any(other.ill for other in route.endpoints)
+        # a sender with few documents sees few failures: each tells more; quick ones come three in a row
+        enough = STREAK if kind == CONNECT_FAILED else max(1, min(STREAK, int(dest.rate(now) * STREAK)))
+        enough = 1 if any(other.ill for other in route.endpoints) else enough
         if ep.ill:
             route.trial_ms = min(LONGEST_TRIAL_MS, route.trial_ms * 2.0)
-            route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
-        elif kind != FULL and (ep.streak >= (1 if sibling_ill else STREAK) or ep.failing > ILL_SHARE) or \
+            self._await_trial(now, dest, route)
+        elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE) or \
                 outcome.wait_ms > LONG_WAIT_MS or ep.streak >= 2 * STREAK and now - ep.failed_at >= SHUT_MS:
             self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
 
@@ -584,15 +583,16 @@
             if each is ep or why == FULL and each.ok_at < ep.failed_at:
                 each.ill, each.back_at = True, None
         route.trial_ms = TRIAL_MS
-        route.trial_at = now + route.trial_ms * self._draw(0.7, 1.3)
+        self._await_trial(now, dest, route)
         self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
 
+    def _await_trial(self, now: float, dest: Destination, route: Route) -> None:
+        # many senders with few documents each together try no more often than their usual traffic
+        route.trial_at = now + max(route.trial_ms, TRIAL_EVERY / dest.rate(now)) * self._draw(0.3, 1.7)
+
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
-        ep.served.add(now)
-        if not ep.ill and ep.back_at is None:
-            ep.before = ep.served.rate(now)
         ep.streak, ep.ok_at = 0, now
         ep.failing, ep.doubtful = ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
@@ -600,10 +600,8 @@
         if ep.ill:
             route.trial_at, route.trial_ms = now, TRIAL_MS
             if ep.failing <= ILL_SHARE:
-                ep.ill, ep.back_at, ep.meter = False, now, Meter(now, 0.0)
-                self._host.log(f"destination {dest.number}: endpoint back, {ep.before:.1f} calls/s before")
-
-    # Small matters
+                ep.ill, ep.back_at, ep.meter = False, now, Meter(now, self._draw(0.0, 1.0))
+                self._host.log(f"destination {dest.number}: endpoint back, {dest.rate(now):.2f} documents/s")
 
     def _patience(self, ep: Endpoint, doc: Document) -> float:
         """Time-outs follow observed answer times; nothing seen yet: the agreed time."""
@@ -631,7 +629,7 @@
 
     def _join(self, now: float, entry: our.Endpoint) -> None:
         number = entry.destination
-        dest = self._destinations.setdefault(number, Destination(number, self._set.slots))
+        dest = self._destinations.setdefault(number, Destination(number, self._set, now))
         if not dest.routes or self._set.routes_apart[entry.kind]:
             rate = entry.rate if self._set.rates_listed else 0.0
             dest.routes.append(Route(self._set.per_call[entry.kind], rate, now))
