Keep idle connections only where this sender has calls often

Cause: in the first third of a second as many senders as an endpoint has connections took them and kept them; the others failed for ten seconds. Also covers idle connections lost unseen; hurts by handshakes.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -46,7 +46,7 @@
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
 STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
-CROWDED_MS = 20000.0                           # after a failed connection none is kept idle for so long
+CROWDED_MS, KEPT_RATE = 20000.0, 0.4           # none kept idle after a failed connect, or for fewer a second
 BUCKET_MS, BUCKETS = 1000.0, 8                 # the ring in which served calls are counted
 
 
@@ -234,8 +234,7 @@
 
     def __init__(self, settings: our.Settings, seed: int, host: our.Host) -> None:
         self._set, self._host = settings, host
-        self._types = {kind.name: kind for kind in settings.types}
-        self._draw = random.Random(seed).uniform
+        self._types, self._draw = {kind.name: kind for kind in settings.types}, random.Random(seed).uniform
         self._destinations: dict[int, Destination] = {}
         self._endpoints: dict[str, tuple[Route, Endpoint]] = {}
         self._held: dict[str, Document] = {}
@@ -321,9 +320,10 @@
         self._wake(now, self._ask_at)
         self._make_room(now)
         self._fill(now)
-        while self._lying and now < self._crowded_until:
-            # connections are limited and idle ones count: kept by many senders they shut all others out
-            name, ep = self._lying.popitem()
+        # connections are limited and idle ones count: kept by many senders they shut all others out
+        least = float("inf") if now < self._crowded_until else KEPT_RATE
+        for name in [name for name, (dest, _) in self._lying.items() if dest.rate(now) < least]:
+            ep = self._lying.pop(name)[1]
             if ep.idle:
                 self._host.close_idle(name)
                 ep.idle.clear()
@@ -414,7 +414,7 @@
             self._idle.learn(now, call.idle_ms, kind == our.RESET)
         if kind in (OK, our.ERROR, FULL) and len(call.ep.calls) % self._set.calls_per_connection == 0:
             call.ep.idle.append(now)
-            self._lying[call.ep.name] = call.ep
+            self._lying[call.ep.name] = dest, call.ep
 
     def _finish(self, doc: Document) -> None:
         """The final answer: rejected if the client may safely come again, else abandoned."""
