Learn from time-outs too how long connections may lie idle

Told from a hang by the idle time before the call. Hurts by handshakes where idle connections time out for another reason.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -78,8 +78,7 @@
 class Idle:
     """Learns how long a connection may lie idle before something on the way resets its next call.
 
-    Guards against proxies and others that forget idle connections; hurts by handshakes for a while.
-    """
+    Guards against proxies and others that forget idle connections; hurts by handshakes for a while."""
 
     def __init__(self) -> None:
         self._resets = [0.0] * len(IDLE_MS)         # moving share of calls reset, by idle time
@@ -410,8 +409,8 @@
         dest.out -= 1
         call.ep.calls.remove(call.sent_at)
         call.route.trials_out -= call.trial
-        if kind in (OK, our.ERROR, FULL, our.RESET):
-            self._idle.learn(now, call.idle_ms, kind == our.RESET)
+        if kind != CONNECT_FAILED:
+            self._idle.learn(now, call.idle_ms, kind in (our.RESET, our.TIMEOUT))
         if kind in (OK, our.ERROR, FULL) and len(call.ep.calls) % self._set.calls_per_connection == 0:
             call.ep.idle.append(now)
             self._lying[call.ep.name] = dest, call.ep
@@ -558,6 +557,8 @@
             self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
         dest.window = max(1.0, dest.window / 2.0)
+        if kind in (our.RESET, our.TIMEOUT) and self._idle.stale(now, call.idle_ms):
+            return                                  # lost with the connection: tells nothing of the endpoint
         if kind == CONNECT_FAILED:
             self._crowded_until = now + CROWDED_MS
             if ep.calls and ep.ok_at >= call.sent_at:
@@ -572,8 +573,7 @@
         enough = STREAK if kind == CONNECT_FAILED else max(1, min(STREAK, int(dest.rate(now) * STREAK)))
         enough = 1 if any(other.ill for other in route.endpoints) else enough
         if ep.ill:
-            route.trial_ms = min(LONGEST_TRIAL_MS, route.trial_ms * 2.0)
-            self._await_trial(now, dest, route)
+            self._await_trial(now, dest, route, route.trial_ms * 2.0)
         elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE) or \
                 outcome.wait_ms > LONG_WAIT_MS or ep.streak >= 2 * STREAK and now - ep.failed_at >= SHUT_MS:
             self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
@@ -582,12 +582,12 @@
         for each in route.endpoints:    # a shut destination is shut at all its endpoints
             if each is ep or why == FULL and each.ok_at < ep.failed_at:
                 each.ill, each.back_at = True, None
-        route.trial_ms = TRIAL_MS
-        self._await_trial(now, dest, route)
+        self._await_trial(now, dest, route, TRIAL_MS)
         self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
 
-    def _await_trial(self, now: float, dest: Destination, route: Route) -> None:
+    def _await_trial(self, now: float, dest: Destination, route: Route, ms: float) -> None:
         # many senders with few documents each together try no more often than their usual traffic
+        route.trial_ms = min(LONGEST_TRIAL_MS, ms)
         route.trial_at = now + max(route.trial_ms, TRIAL_EVERY / dest.rate(now)) * self._draw(0.3, 1.7)
 
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
