Make room in lines of sick destinations first

Cause: documents for destinations that cannot be served filled the places for held documents, and new ones for others were turned away.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -201,8 +201,6 @@
 
 
 class Document:
-    """A document that this sender holds."""
-
     def __init__(self, doc_id: str, kind: our.DocumentType, destination: Destination, now: float,
                  left_ms: float, order: int) -> None:
         self.id, self.kind, self.destination, self.order = doc_id, kind, destination, order
@@ -246,8 +244,6 @@
         self._dialled, self._lying = [], {}         # endpoints called in this turn, with idle connections
         self._ask_at = 0.0 if settings.list_on_request else float("inf")
 
-    # Events
-
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
         """The list, or changes to it."""
         if mode == our.FAILED:
@@ -263,7 +259,6 @@
 
     def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
                  key: str | None) -> None:
-        """A new document."""
         self._order += 1
         dest = self._destinations.setdefault(destination, Destination(destination, self._set, now))
         dest.taken += 1
@@ -532,13 +527,14 @@
         return wait_ms <= 0.0
 
     def _make_room(self, now: float) -> None:
-        """Held documents are finite: the longest line gives up its least worthy one, to leave room."""
+        """Held documents are finite: the longest line, a sick one first, gives up its least worthy."""
         while len(self._held) >= self._set.max_held:
-            dest = max(self._destinations.values(), key=lambda each: (len(each.line), -each.number))
-            docs = [(self._value(now, doc), doc.order, doc) for doc in dest.line if not doc.doubt]
-            if not docs:
+            lines = [(each.troubled(now), len(each.line), -number) for number, each in
+                     self._destinations.items() if any(not doc.doubt for doc in each.line)]
+            if not lines:
                 return
-            self._finish(min(docs)[2])
+            line = self._destinations[-max(lines)[2]].line
+            self._finish(min((self._value(now, doc), doc.order, doc) for doc in line if not doc.doubt)[2])
 
     # What outcomes teach
 
@@ -561,8 +557,8 @@
             return                                  # lost with the connection: tells nothing of the endpoint
         if kind == CONNECT_FAILED:
             self._crowded_until = now + CROWDED_MS
-            if ep.calls and ep.ok_at >= call.sent_at:
-                return                              # others were served meanwhile: its connections are taken
+            if ep.calls and ep.ok_at >= call.sent_at:   # others were served: its connections are taken
+                return
         if kind == FULL:
             route.meter.credit = 0.0                # the next call a full step later
         ep.failed_at = ep.failed_at if ep.streak else now
