--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -566,7 +566,8 @@
         ep.failing += 0.2 * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
         # a sender with few documents sees few failures: each tells more; quick ones come three in a row
-        enough = STREAK if kind == CONNECT_FAILED else max(1, min(STREAK, int(dest.rate(now) * STREAK)))
+        quick = kind == CONNECT_FAILED and outcome.elapsed_ms < TRIAL_MS
+        enough = STREAK if quick else max(1, min(STREAK, int(dest.rate(now) * STREAK)))
         enough = 1 if any(other.ill for other in route.endpoints) else enough
         if ep.ill:
             self._await_trial(now, dest, route, route.trial_ms * 2.0)
