--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -39,7 +39,6 @@
 ROOM_MS = 1000.0                               # a report of room is believed for so long
 LEAST_TOGETHER = 2.0                           # calls a second to a destination, from all senders together
 LEAST_PACE, BURST = 0.5, 0.25                  # calls a second; seconds of the pace that may go at once
-OWN_PACE = 4.0                                 # times its usual rate: a sender's pace with no room left
 SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
 GUESSED_TOP = 4.0                              # a limit not told may be so many times the rate first seen
 CUT_EVERY_MS = 300.0                           # the share is cut no more often
@@ -149,17 +148,14 @@
         self.room, self.room_at = 1.0, now
         self.meter, self.served = Meter(now), Ring(now)
 
-    def wait_ms(self, now: float, usual: float) -> float:
+    def wait_ms(self, now: float) -> float:
         """How long until a told wait is over and the pace allows the next call."""
         if now < self.wait_until:
             return self.wait_until - now
         if not self.limit:
             return 0.0
         room = self.room if now - self.room_at < ROOM_MS else 1.0
-        pace = self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM))
-        if room < LITTLE_ROOM:                      # many senders with few documents each see the same room
-            pace = min(pace, OWN_PACE * usual)
-        pace = max(pace, LEAST_PACE)
+        pace = max(self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)), LEAST_PACE)
         return self.meter.wait_ms(now, pace, max(1.0, pace * BURST))
 
     def grow(self, now: float, top: float) -> None:
@@ -498,7 +494,7 @@
             return []
         places, trials = [], []
         for route in dest.routes:
-            wait_ms = route.wait_ms(now, dest.rate(now))
+            wait_ms = route.wait_ms(now)
             if wait_ms > 0.0:
                 self._wake(now, now + wait_ms)
                 continue
@@ -564,8 +560,7 @@
             if ep.calls and ep.ok_at >= call.sent_at:   # others were served: its connections are taken
                 return
         if kind == FULL:
-            route.meter.credit = self._draw(0.0, 0.9)   # the next call a step later, by chance
-            route.room, route.room_at = 0.0, now
+            route.meter.credit = 0.0                # the next call a full step later
         ep.failed_at = ep.failed_at if ep.streak else now
         ep.streak += 1
         ep.failing += 0.2 * (1.0 - ep.failing)
