Steer the pace in steps of a sender's own part of a limit

Cause: a sender that uses a hundredth of a limit cut its pace by a fifth of the whole and never slowed; refused calls used up the limit, a chain that takes 3.3 a second got 8.4 and served 0.2. Cuts now start from five times a sender's usual rate and growth is in the same parts. Hurts where a burst meets a limit that is soon free again.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -34,14 +34,14 @@
 OVERDUE_MS, OVERDUE = 1000.0, 4.0              # so is a call out so long, and so many usual answer times
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
 TRIAL_EVERY = 2000.0                           # or the usual time between so many thousandths of a document
-SHARE_CUT, SHARE_STEP = 0.8, 0.3              # the share of a limit: cut, and growth a second
+SHARE_CUT, SHARE_STEP = 0.8, 0.3               # the share of a limit: cut, and growth a second, in parts that
+OWN_PART = 5.0                                 # are at most so many times this sender's usual rate
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
-ROOM_MS = 1000.0                               # a report of room is believed for so long
+ROOM_MS, CUT_EVERY_MS = 1000.0, 300.0          # a report of room is believed so long; cuts are no closer
 LEAST_TOGETHER = 2.0                           # calls a second to a destination, from all senders together
 LEAST_PACE, BURST = 0.5, 0.25                  # calls a second; seconds of the pace that may go at once
 SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
 GUESSED_TOP = 4.0                              # a limit not told may be so many times the rate first seen
-CUT_EVERY_MS = 300.0                           # the share is cut no more often
 ASK_AGAIN_MS = 1000.0                          # a failed subscription is asked for again after half of this
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
@@ -148,24 +148,25 @@
         self.room, self.room_at = 1.0, now
         self.meter, self.served = Meter(now), Ring(now)
 
-    def wait_ms(self, now: float) -> float:
+    def wait_ms(self, now: float, usual: float) -> float:
         """How long until a told wait is over and the pace allows the next call."""
         if now < self.wait_until:
             return self.wait_until - now
         if not self.limit:
             return 0.0
         room = self.room if now - self.room_at < ROOM_MS else 1.0
-        pace = max(self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)), LEAST_PACE)
+        pace = max(self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)),
+                   min(LEAST_PACE, usual / 2.0))
         return self.meter.wait_ms(now, pace, max(1.0, pace * BURST))
 
-    def grow(self, now: float, top: float) -> None:
-        self.share = min(top, self.share + SHARE_STEP * min(1.0, (now - self.steered_at) / 1000.0))
+    def grow(self, now: float, own: float, top: float) -> None:
+        self.share = min(top, self.share + own * SHARE_STEP * min(1.0, (now - self.steered_at) / 1000.0))
         self.steered_at = now
 
-    def cut(self, now: float, least: float) -> None:
+    def cut(self, now: float, own: float, least: float) -> None:
         self.steered_at = now
         if now >= self.cut_at:
-            self.share = max(self.share * SHARE_CUT, least)
+            self.share = max(min(self.share, own) * SHARE_CUT, least)
             self.cut_at = now + CUT_EVERY_MS        # signs of one moment are one sign
 
 
@@ -494,7 +495,7 @@
             return []
         places, trials = [], []
         for route in dest.routes:
-            wait_ms = route.wait_ms(now)
+            wait_ms = route.wait_ms(now, dest.rate(now))
             if wait_ms > 0.0:
                 self._wake(now, now + wait_ms)
                 continue
@@ -545,10 +546,11 @@
         little = kind == FULL or outcome.limit and route.room < LITTLE_ROOM
         if kind == FULL and not route.limit:
             route.limit = max(route.served.rate(now), route.served.rate(now, 2), LEAST_PACE)
+        own = min(1.0, OWN_PART * dest.rate(now) / route.limit) if route.limit else 1.0
         if little:
-            route.cut(now, 0.5 / self._set.senders)
+            route.cut(now, own, own * 0.1)
         elif kind == OK:
-            route.grow(now, 1.0 if outcome.limit else GUESSED_TOP)
+            route.grow(now, own, 1.0 if outcome.limit else GUESSED_TOP)
         if kind == OK:
             self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
@@ -609,7 +611,6 @@
         return patience * (1.5 if scarce else 2.0) if doc.kind.effect == BINDING else patience
 
     def _value(self, now: float, doc: Document) -> float:
-        """The value that the document would earn if transmitted now."""
         kind = doc.kind
         late = max(0.0, now - doc.taken - kind.agreed_ms)
         if self._set.halving:
