--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -573,8 +573,8 @@
         enough = 1 if any(other.ill for other in route.endpoints) else enough
         if ep.ill:
             self._await_trial(now, dest, route, route.trial_ms * 2.0)
-        elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE) or \
-                outcome.wait_ms > LONG_WAIT_MS or ep.streak >= 2 * STREAK and now - ep.failed_at >= SHUT_MS:
+        elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE) or outcome.wait_ms > \
+                LONG_WAIT_MS or ep.streak >= max(STREAK, 2 * enough) and now - ep.failed_at >= SHUT_MS:
             self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
 
     def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Endpoint, why: str) -> None:
