Four calls a second from all senders together; a sender's own part is at least an equal one

Cause: in fleets of three the equal part is a third of a limit, and many destinations get less than one document a second from each.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -35,10 +35,10 @@
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
 TRIAL_EVERY = 2000.0                           # or the usual time between so many thousandths of a document
 SHARE_CUT, SHARE_STEP = 0.8, 0.3               # the share of a limit: cut, and growth a second, in parts that
-OWN_PART = 5.0                                 # are at most so many times this sender's usual rate
+OWN_PART = 5.0                                 # are so many times an equal part or this sender's usual rate
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
 ROOM_MS, CUT_EVERY_MS = 1000.0, 300.0          # a report of room is believed so long; cuts are no closer
-LEAST_TOGETHER = 2.0                           # calls a second to a destination, from all senders together
+LEAST_TOGETHER = 4.0                           # calls a second to a destination, from all senders together
 LEAST_PACE, BURST = 0.5, 0.25                  # calls a second; seconds of the pace that may go at once
 SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
 GUESSED_TOP = 4.0                              # a limit not told may be so many times the rate first seen
@@ -546,9 +546,9 @@
         little = kind == FULL or outcome.limit and route.room < LITTLE_ROOM
         if kind == FULL and not route.limit:
             route.limit = max(route.served.rate(now), route.served.rate(now, 2), LEAST_PACE)
-        own = min(1.0, OWN_PART * dest.rate(now) / route.limit) if route.limit else 1.0
+        own = min(1.0, OWN_PART * max(1.0 / self._set.senders, dest.rate(now) / max(route.limit, LEAST_PACE)))
         if little:
-            route.cut(now, own, own * 0.1)
+            route.cut(now, own, 0.5 / self._set.senders)
         elif kind == OK:
             route.grow(now, own, 1.0 if outcome.limit else GUESSED_TOP)
         if kind == OK:
