--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,14 +6,15 @@
 from birchstack import interface as our
 
 
+@pytest.mark.parametrize("loss", [our.RESET, our.TIMEOUT])
 @pytest.mark.parametrize(("idle", "closes"), [(3000.0, True), (100.0, False)])
-def test_connections_reset_after_idle_time_are_closed_before_the_next_call(idle, closes):
+def test_connections_lost_after_idle_time_are_closed_before_the_next_call(idle, closes, loss):
     story = Story()
     for number in range(6):
         doc = f"d{number}"
         story.take(doc)
         if number and idle > 1000.0 and not story.closed:
-            story.ends(doc, our.RESET, 30.0)
+            story.ends(doc, loss, 30.0)
             story.at(story.now + 200.0)
         story.ends(doc, our.OK, 50.0)
         story.at(story.now + idle)
@@ -84,3 +85,76 @@
         story.at(story.now + 1000.0)
     repeats = sum(story.number.values())
     assert 0 < repeats <= len(story.number) * 0.35
+
+
+@pytest.mark.parametrize(("senders", "kept"), [(2, True), (200, False)])
+def test_many_senders_leave_no_idle_connections_behind(senders, kept):
+    story = Story(senders=senders)
+    story.take("d")
+    story.ends("d", our.OK, 50.0)
+    assert bool(story.closed) != kept
+
+
+def test_no_connection_lies_idle_after_a_connect_failed():
+    story = Story(endpoints=("a", "b"), senders=2)
+    for doc in ("d", "e"):
+        story.take(doc)
+    story.ends("d", our.CONNECT_FAILED, 20.0)
+    story.ends("e", our.OK, 50.0)
+    assert story.closed
+
+
+@pytest.mark.parametrize(("senders", "again"), [(2, True), (200, False)])
+def test_where_documents_are_few_one_silent_call_tells_and_trials_are_rare(senders, again):
+    story = Story(senders=senders)
+    story.take("d")
+    for _ in range(3):
+        if story.number["d"] + 1 > story.ends_of("d"):
+            story.ends("d", our.TIMEOUT, 2000.0)
+        story.at(story.now + 1500.0)
+    assert (story.tries("d") > 1) == again
+
+
+def test_an_endpoint_back_from_an_outage_gets_this_senders_usual_traffic_and_no_burst():
+    story = Story(senders=200, slots=20)
+    story.take("d")
+    story.ends("d", our.TIMEOUT, 2000.0)
+    for number in range(10):
+        story.take(f"e{number}")
+    while not any(doc != "d" for doc, _ in story.calls) and story.tries("d") < 2:
+        story.at(story.now + 100.0)
+    story.ends(story.calls[-1][0], our.OK, 50.0)
+    out = len(story.calls)
+    story.at(story.now + 1500.0)
+    assert "back" in story.logs[-1] and len(story.calls) <= out + 2
+
+
+@pytest.mark.parametrize(("senders", "ill"), [(2, False), (200, True)])
+def test_refusals_over_seconds_count_as_shut_sooner_where_documents_are_few(senders, ill):
+    story = Story(senders=senders)
+    story.take("d")
+    for _ in range(6):
+        if story.number["d"] + 1 > story.ends_of("d"):
+            story.ends("d", our.FULL, 10.0)
+        story.at(story.now + 1500.0)
+    assert bool(story.logs) == ill
+
+
+def test_room_is_made_where_documents_wait_for_a_sick_destination():
+    story = Story(senders=200, max_held=6, slots=2)
+    story.listed(["z"], our.CHANGES, destination=2)
+    story.take("d0")
+    story.ends("d0", our.TIMEOUT, 2000.0)
+    for number in range(1, 3):
+        story.take(f"d{number}")
+    for number in range(4):
+        story.take(f"e{number}", destination=2)
+    assert story.said and all(doc.startswith("d") for doc, _ in story.said)
+
+
+def test_two_hundred_events_after_a_standstill_go_out_within_the_slots():
+    story = Story(slots=4, max_held=400)
+    for number in range(200):
+        story.sender.document(story.now, f"d{number}", 1, "sync", 20000.0, None)
+    story.sender.turn(story.now)
+    assert 0 < len(story.calls) <= 3
