--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -42,7 +42,7 @@
 LEAST_PACE, BURST = 0.5, 0.25                  # calls a second; seconds of the pace that may go at once
 SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
 GUESSED_TOP = 4.0                              # a limit not told may be so many times the rate first seen
-ASK_AGAIN_MS = 1000.0                          # a failed subscription is asked for again after half of this
+ASK_AGAIN_MS, EARLY_MS = 1000.0, 1.0           # a failed subscription is renewed; an alarm may be early
 CALL_MS = 100.0                                # a call takes this long at least, until one was seen
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
 STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
@@ -303,7 +303,7 @@
 
     def turn(self, now: float) -> None:
         """Ends the events of one time: gives up what is out of reach, then fills the places that are free."""
-        self._alarm = self._alarm if now < self._alarm else float("inf")
+        self._alarm = self._alarm if now < self._alarm - EARLY_MS else float("inf")
         while self._ends and (self._ends[0][2].over or self._ends[0][0] <= now):
             doc = heapq.heappop(self._ends)[2]
             if not doc.over and doc.out is None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -132,3 +132,14 @@
         story.sender.document(story.now, f"d{number}", number, "sync", 20000.0, None)
     story.sender.turn(story.now)
     assert len(story.calls) == 4
+
+
+def test_an_alarm_that_comes_a_little_early_is_set_again():
+    story = Story(endpoints=())
+    story.take("d", left=5000.0)
+    due = min(story.alarms)
+    story.alarms.remove(due)
+    story.now = due - 0.0004
+    story.sender.turn(story.now)
+    story.at(5000.0)
+    assert story.said == [("d", "rejected")]
