--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -546,7 +546,8 @@
         little = kind == FULL or outcome.limit and route.room < LITTLE_ROOM
         if kind == FULL and not route.limit:
             route.limit = max(route.served.rate(now), route.served.rate(now, 2), LEAST_PACE)
-        own = min(1.0, OWN_PART * max(1.0 / self._set.senders, dest.rate(now) / max(route.limit, LEAST_PACE)))
+        own = max(1.0 / self._set.senders, dest.rate(now) / max(route.limit, LEAST_PACE))
+        own = min(1.0, own * (OWN_PART if ep.streak < 2 else 1.0))
         if little:
             route.cut(now, own, 0.5 / self._set.senders)
         elif kind == OK:
