Two refusals in a row at a rarely used destination: pace under half its usual rate

Cause: a hung destination refused all with its queue full; each of 160 senders came back after seconds, together 26 calls a second as it returned cold. No sender could tell it from a limit (the room told was as mixed as at limits). Told from a limit: nothing served since the first refusal. Also covers shut destinations and jams. Hurts a rare document that meets two full spans.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -35,7 +35,7 @@
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
 TRIAL_EVERY = 2000.0                           # or the usual time between so many thousandths of a document
 SHARE_CUT, SHARE_STEP = 0.8, 0.3               # the share of a limit: cut, and growth a second, in parts that
-OWN_PART = 5.0                                 # are so many times an equal part or this sender's usual rate
+OWN_PART, FEARED_PART = 5.0, 0.4               # are so many times an equal part or this sender's usual rate
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
 ROOM_MS, CUT_EVERY_MS = 1000.0, 300.0          # a report of room is believed so long; cuts are no closer
 LEAST_TOGETHER = 4.0                           # calls a second to a destination, from all senders together
@@ -103,7 +103,6 @@
         self.credit, self._at = credit, now
 
     def wait_ms(self, now: float, rate: float, most: float) -> float:
-        """How long until the next call is paid for, at so many calls a second."""
         self.credit = min(most, self.credit + (now - self._at) * rate / 1000.0)
         self._at = now
         return 0.0 if self.credit >= 0.999 else (1.0 - self.credit) * 1000.0 / rate
@@ -456,7 +455,6 @@
         self._dialled.clear()
 
     def _look(self, now: float, dest: Destination, best: dict[int, tuple]) -> None:
-        """Finds the best document of one line that has a place."""
         places = self._places(now, dest)
         if not places:
             return
@@ -547,7 +545,8 @@
         if kind == FULL and not route.limit:
             route.limit = max(route.served.rate(now), route.served.rate(now, 2), LEAST_PACE)
         own = max(1.0 / self._set.senders, dest.rate(now) / max(route.limit, LEAST_PACE))
-        own = min(1.0, own * (OWN_PART if ep.streak < 2 else 1.0))
+        rare = ep.streak > 1 and dest.rate(now) * STREAK < 2.0      # nothing served, and few calls to tell
+        own = min(1.0, own * (FEARED_PART if rare else OWN_PART))
         if little:
             route.cut(now, own, 0.5 / self._set.senders)
         elif kind == OK:
@@ -563,7 +562,7 @@
             if ep.calls and ep.ok_at >= call.sent_at:   # others were served: its connections are taken
                 return
         if kind == FULL:
-            route.meter.credit = 0.0                # the next call a full step later
+            route.meter.credit = self._draw(0.0, 0.9) if rare else 0.0   # the next call a full step later
         ep.failed_at = ep.failed_at if ep.streak else now
         ep.streak += 1
         ep.failing += 0.2 * (1.0 - ep.failing)
