--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -20,7 +20,7 @@
 from birchstack.interface import BINDING, CANCELLED, CONNECT_FAILED, FULL, NUMBERED, OK, READY, UNSENT
 
 TOKENS, TOKEN_PER_TRANSMISSION = 10.0, 0.1     # the bucket that pays for repeats
-REPEAT_SHARE, SPARE_REPEATS = 0.25, 0.5        # most repeats for each first try, and a second besides
+REPEAT_SHARE, SPARE_REPEATS = 0.25, 0.25       # most repeats for each first try, and a second besides
 PAUSE_MS, LONGEST_PAUSE_MS = 100.0, 2000.0     # full jitter
 NEVER_RAN = (FULL, CONNECT_FAILED, UNSENT)     # outcomes that prove that the document had no effect
 LEAST_PATIENCE_MS = 2000.0                     # no time-out below this: destinations pause and stall
