--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -382,7 +382,6 @@
         self._host.transmit(doc.id, ep.name, min(self._patience(ep, doc), doc.expiry - now))
 
     def _dial(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> Call:
-        """Takes a slot and a place, and a connection that is no longer than safe idle."""
         idle_ms = 0.0
         if len(ep.calls) % self._set.calls_per_connection == 0:
             if ep.idle and self._idle.stale(now, now - ep.idle[0]):
@@ -586,8 +585,9 @@
 
     def _await_trial(self, now: float, dest: Destination, route: Route, ms: float) -> None:
         # many senders with few documents each together try no more often than their usual traffic
-        route.trial_ms = min(LONGEST_TRIAL_MS, ms)
-        route.trial_at = now + max(route.trial_ms, TRIAL_EVERY / dest.rate(now)) * self._draw(0.3, 1.7)
+        route.trial_ms, rare_ms = min(LONGEST_TRIAL_MS, ms), TRIAL_EVERY / dest.rate(now)
+        pause = rare_ms if rare_ms > LONGEST_TRIAL_MS else route.trial_ms
+        route.trial_at = now + pause * self._draw(0.3, 1.7)
 
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
