--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -403,7 +403,7 @@
         call.ep.calls.remove(call.sent_at)
         call.route.trials_out -= call.trial
         if kind != CONNECT_FAILED:
-            self._idle.learn(now, call.idle_ms, kind in (our.RESET, our.TIMEOUT))
+            self._idle.learn(now, call.idle_ms, kind == our.RESET or kind == our.TIMEOUT and not call.trial)
         if kind in (OK, our.ERROR, FULL) and len(call.ep.calls) % self._set.calls_per_connection == 0:
             call.ep.idle.append(now)
             self._lying[call.ep.name] = dest, call.ep
@@ -556,8 +556,9 @@
         dest.window = max(1.0, dest.window / 2.0)
         if kind in (our.RESET, our.TIMEOUT) and self._idle.stale(now, call.idle_ms):
             return                                  # lost with the connection: tells nothing of the endpoint
-        if kind == CONNECT_FAILED:
-            self._crowded_until = now + CROWDED_MS
+        quick = kind == CONNECT_FAILED and outcome.elapsed_ms < TRIAL_MS
+        if kind == CONNECT_FAILED:                  # a full table denies at once, a silent machine late
+            self._crowded_until = now + CROWDED_MS if quick else self._crowded_until
             if ep.calls and ep.ok_at >= call.sent_at:   # others were served: its connections are taken
                 return
         if kind == FULL:
@@ -567,7 +568,6 @@
         ep.failing += 0.2 * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
         # a sender with few documents sees few failures: each tells more; quick ones come three in a row
-        quick = kind == CONNECT_FAILED and outcome.elapsed_ms < TRIAL_MS
         enough = STREAK if quick else max(1, min(STREAK, int(dest.rate(now) * STREAK)))
         enough = 1 if any(other.ill for other in route.endpoints) else enough
         if ep.ill:
