--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -478,7 +478,6 @@
             best[dest.number] = found
 
     def _places(self, now: float, dest: Destination) -> list[tuple[Route, Endpoint]]:
-        """The free places at this destination, best first."""
         joinable = [(route, ep) for route in dest.routes for ep in route.endpoints
                     if ep.joinable(route)]
         if joinable and not joinable[0][1].ill:
@@ -632,11 +631,12 @@
             rate = entry.rate if self._set.rates_listed else 0.0
             dest.routes.append(Route(self._set.per_call[entry.kind], rate, now))
         number = sum(len(each.endpoints) for each in dest.routes)
-        dest.routes[-1].endpoints.append(Endpoint(entry.name, entry.zone, number, now))
-        self._endpoints[entry.name] = dest.routes[-1], dest.routes[-1].endpoints[-1]
+        route, ep = dest.routes[-1], Endpoint(entry.name, entry.zone, number, now)
+        ep.ill = any(other.ill for other in route.endpoints)    # a new one beside the sick: no burst there
+        route.endpoints.append(ep)
+        self._endpoints[entry.name] = route, ep
 
     def _wake(self, now: float, when: float) -> None:
-        """One alarm for all that waits."""
         if when < self._alarm:
             self._alarm = when
             self._host.wake(max(0.0, when - now))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -162,3 +162,13 @@
         story.sender.document(story.now, f"d{number}", 1, "sync", 20000.0, None)
     story.sender.turn(story.now)
     assert 0 < len(story.calls) <= 3
+
+
+def test_an_endpoint_that_joins_beside_a_sick_one_gets_no_burst():
+    story = Story(senders=40, slots=20)
+    story.take("d")
+    story.ends("d", our.TIMEOUT, 2000.0)
+    for number in range(5):
+        story.take(f"e{number}")
+    story.listed(["b"], our.CHANGES)
+    assert len(story.calls) == 1
