--- a/birchstack/adapter/wire.py
+++ b/birchstack/adapter/wire.py
@@ -7,8 +7,8 @@
 from typing import BinaryIO
 
 from birchstack import interface as our
-from birchstack.adapter.settings import decode
 from birchstack.decide import Sender
+from birchstack.settings import decode
 
 OUTCOMES = {"delivered": our.OK, "app_error": our.ERROR, "shed": our.FULL, "expired": our.TIMEOUT,
             "dial_failed": our.CONNECT_FAILED, "dropped": our.RESET, "revoked": our.CANCELLED,
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -148,10 +148,8 @@
 
     def wait_ms(self, now: float, usual: float) -> float:
         """How long until a told wait is over and the pace allows the next call."""
-        if now < self.wait_until:
-            return self.wait_until - now
-        if not self.limit:
-            return 0.0
+        if now < self.wait_until or not self.limit:
+            return max(0.0, self.wait_until - now)
         room = self.room if now - self.room_at < ROOM_MS else 1.0
         pace = max(self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)),
                    min(LEAST_PACE, usual / 2.0))
@@ -201,16 +199,19 @@
 
 class Document:
     def __init__(self, doc_id: str, kind: our.DocumentType, destination: Destination, now: float,
-                 left_ms: float, order: int) -> None:
+                 left_ms: float, order: int, past: our.Past) -> None:
         self.id, self.kind, self.destination, self.order = doc_id, kind, destination, order
         self.expiry = now + left_ms
         self.taken = self.expiry - kind.expiry_ms   # when the client first handed it in
         self.ready_at = now             # end of its pause
-        self.sent = self.repeats = 0    # transmissions, and those that the bucket paid for
+        self.sent, self.repeats = past.sent, 0  # transmissions, and those that the bucket paid for
         self.out: Call | None = None
-        self.doubt: list[tuple[float, str]] = []    # transmissions that may have run: time and zone
+        self.doubt = [*past.doubt]      # transmissions that may have run: time and zone
         self.over, self.keyline, self.path = False, None, None
 
+    def lost(self) -> bool:     # it must not be transmitted again, nor handed in again
+        return bool(self.doubt) and self.kind.effect == BINDING
+
 
 class Keyline:
     """Documents of one key, in the order taken; one at a time, with a rest after doubt."""
@@ -257,14 +258,16 @@
             self._endpoints[entry.name][1].state = entry.state
 
     def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
-                 key: str | None) -> None:
+                 key: str | None, past: our.Past = our.NO_PAST) -> None:
         self._order += 1
         dest = self._destinations.setdefault(destination, Destination(destination, self._set, now))
         dest.taken += 1
-        doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order)
+        doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
         if key is not None and doc.kind.in_order:
             doc.keyline = self._keys.setdefault(key, Keyline())
             doc.keyline.docs.append(doc)
+            if doc.doubt:               # what was out when its sender ended may still run
+                doc.keyline.rest_until, doc.keyline.rested_by = now + self._set.key_rest_ms, doc
         self._held[doc_id] = doc
         doc.path = self._deliver(doc)
         self._resume(now, doc, None)
@@ -328,12 +331,12 @@
     def _deliver(self, doc: Document) -> Generator:
         """One document from its taking to its answer. Yields a pause, then where to send it."""
         pause = 0.0
-        while doc.sent < self._set.max_transmissions:
+        while doc.sent < self._set.max_transmissions and not doc.lost():
             place = yield pause                     # in line, until a place comes free
             if place is None:                       # the time left no longer covers a call
                 break
             outcome = yield place
-            if outcome.kind == CANCELLED or doc.doubt and doc.kind.effect == BINDING:
+            if outcome.kind == CANCELLED or doc.lost():
                 break
             if outcome.kind == UNSENT:              # it never left: no evidence, no repeat
                 pause = PAUSE_MS
@@ -341,19 +344,16 @@
             longest = 0.0 if outcome.wait_ms > 0 else LONGEST_PAUSE_MS  # a told wait replaces the draw
             pause = self._draw(0.0, min(longest, PAUSE_MS * 2.0 ** doc.repeats))
             doc.repeats += 1
-        self._finish(doc)
+        yield self._finish(doc)
 
     def _resume(self, now: float, doc: Document, word: object) -> None:
         """Lets a document go on until it waits again."""
-        try:
-            wish = doc.path.send(word)
-        except StopIteration:
-            return
+        wish = doc.path.send(word)
         if isinstance(wish, float):
             doc.ready_at = now + wish
             insort(doc.destination.line, doc, key=lambda each: each.order)
             heapq.heappush(self._ends, (self._last_call(doc), doc.order, doc))
-        else:
+        elif wish:
             self._transmit(now, doc, *wish)
 
     # The two doors: everything sent and everything answered passes here, with the rules on guard
@@ -362,7 +362,7 @@
         """True if a rule forbids this transmission."""
         if doc.over or doc.out or now >= doc.expiry or ep.state != READY or now < route.wait_until:
             return True
-        if doc.keyline and not doc.keyline.allows(doc, now) or doc.doubt and doc.kind.effect == BINDING:
+        if doc.keyline and not doc.keyline.allows(doc, now) or doc.lost():
             return True
         if doc.doubt and doc.kind.effect == NUMBERED:
             since, zone = doc.doubt[0]
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -61,6 +61,17 @@
     rate: float
 
 
+@dataclass(frozen=True, slots=True)
+class Past:
+    """What became of a document before its sender started again; times are the clock's, perhaps below 0."""
+
+    sent: int = 0                                   # transmissions made
+    doubt: tuple[tuple[float, str], ...] = ()       # time and zone of those that may have run
+
+
+NO_PAST = Past()
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """How one transmission ended. room and limit are None where the destination told nothing."""
@@ -98,7 +109,7 @@
     def endpoints(self, now: float, mode: str, entries: list[Endpoint]) -> None: ...
 
     def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
-                 key: str | None) -> None: ...
+                 key: str | None, past: Past = NO_PAST) -> None: ...
 
     def outcome(self, now: float, doc_id: str, endpoint: str, outcome: Outcome) -> None: ...
 
--- /dev/null
+++ b/birchstack/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real sender: the decisions on sockets."""
--- /dev/null
+++ b/birchstack/net/calls.py
@@ -0,0 +1,246 @@
+"""Calls to endpoints: their connections, the pool of idle ones, and how each call ended.
+
+Owns every connection to an endpoint, the time-outs of calls and dials, and the table of
+outcomes. Must never choose an endpoint, send anything again by itself, or keep a connection that the decisions
+count as gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from birchstack import interface as our
+from birchstack.net import http1
+from birchstack.net.driver import Dial, Link
+from birchstack.net.log import holds, say
+
+PATH = "/hook"
+KEPT = (our.OK, our.ERROR, our.FULL)    # after these the decisions count on the connection lying idle
+EARLIER = 0.9                           # an idle connection is closed at this part of the endpoint's own time
+log = logging.getLogger(__name__)
+
+
+def _decimal(text: str | None) -> float | None:
+    try:
+        value = float(text or "")
+    except ValueError:
+        return None
+    return value if 0.0 <= value < 1e12 else None       # leaves out nan as well
+
+
+def kind_of(answer: http1.Response) -> tuple[str, bool, float]:
+    """Outcome of an answer: its kind, whether the document is over by it, and the wait told."""
+    if answer.status == 200:
+        return our.OK, True, 0.0
+    if answer.status == 429:
+        return our.FULL, False, _decimal(answer.fields.get("x-come-back-ms")) or 0.0
+    if answer.status == 503:
+        busy = answer.fields.get("x-line-busy", "").strip() == "1"
+        return our.UNSENT if busy else our.FULL, False, 0.0
+    if answer.status in (504, 410):
+        return our.UNSENT, answer.status == 410, 0.0
+    return our.ERROR, False, 0.0
+
+
+def report_of(answer: http1.Response) -> tuple[float | None, float | None]:
+    """The room left and the limit that an answer tells."""
+    told = {}
+    for word in answer.fields.get("server-load", "").removeprefix("TEXT").split(","):
+        name, _, value = word.partition("=")
+        told[name.strip()] = _decimal(value.strip())
+    return told.get("x0"), told.get("x1")
+
+
+@dataclass(slots=True)
+class Call:
+    doc: str
+    number: int
+    endpoint: str
+    body: bytes
+    patience_ms: float
+    started: float = 0.0
+
+
+class Line:
+    """One connection to an endpoint, from its dialling to its end; carries one call at a time."""
+
+    def __init__(self, calls: Calls, endpoint: str, where: tuple[str, int]) -> None:
+        self._calls, self.endpoint, self.where = calls, endpoint, where
+        self._link: Link | None = None
+        self._dial: Dial | None = None
+        self._call: Call | None = None
+        self._answer: http1.Response | None = None
+        self._reader = http1.Responses(max_body=None)
+        self._sent = False              # the last byte was handed to the network
+        self._timer = self._dialling = None
+
+    def begin(self, call: Call) -> None:
+        self._call, self._answer = call, None
+        self._rest()
+        self._timer = self._calls.later(call.patience_ms, self._timed_out)
+        if self._link is None:
+            self._dialling = self._calls.later(self._calls.dial_ms, self._not_connected)
+            self._dial = Dial(self._calls.loop, self.where, self, self._not_connected)
+        else:
+            self._write()
+
+    def stale(self) -> bool:
+        """True if the endpoint has closed an idle connection already."""
+        return self._link is None or self._link.closed or self._link.told()[1]
+
+    def rests(self) -> None:
+        """Lies idle until the next call, or shortly before the endpoint would close it."""
+        self._timer = self._calls.later(self._calls.idle_ms * EARLIER, self._expired)
+
+    def close(self) -> None:
+        self._rest()
+        if self._dial:
+            self._dial.stop()
+        if self._link:
+            self._link.abort()
+
+    def _rest(self) -> None:
+        for timer in (self._timer, self._dialling):
+            if timer:
+                timer.cancel()
+        self._timer = self._dialling = None
+
+    def _write(self) -> None:
+        call = self._call
+        fields = {"Request-Id": call.doc, "Request-Timeout-Ms": max(1, int(call.patience_ms))}
+        host = f"{self.where[0]}:{self.where[1]}"
+        self._sent = True
+        self._link.write(http1.request("POST", PATH, host, fields, call.body))
+
+    # What the link tells
+
+    def opened(self, link: Link) -> None:
+        self._link, self._dial = link, None
+        if self._dialling:
+            self._dialling.cancel()
+        if self._call:
+            self._write()
+
+    def received(self, data: memoryview) -> None:
+        if self._call is None:          # nobody asked
+            self._calls.drop(self)
+            return
+        try:
+            events = self._reader.feed(data)
+        except http1.Malformed as problem:
+            say(log, "malformed answer", logging.WARNING, endpoint=self.endpoint, problem=problem)
+            self._ends(keep=False)
+            return
+        for event in events:
+            if self._call is None:      # more than one answer
+                self._calls.drop(self)
+                return
+            if isinstance(event, http1.Response):
+                self._answer = event
+                if event.status == 200:
+                    self._calls.delivered(self._call)
+            elif event is http1.END:
+                self._ends(keep=self._answer.keep and not self._link.unsent and self._reader.between)
+        if self._call and self._answer and self._reader.ended():
+            self._ends(keep=False)      # its body means nothing: no need to wait for its end
+
+    def lost(self) -> None:
+        if self._call is None:
+            self._calls.drop(self)
+        else:
+            self._ends(keep=False)
+
+    # Ends of a call
+
+    def _not_connected(self) -> None:
+        self._ends(keep=False)
+
+    def _timed_out(self) -> None:
+        self._ends(keep=False, patience_over=True)
+
+    def _expired(self) -> None:
+        self._calls.drop(self)
+
+    def _ends(self, keep: bool, patience_over: bool = False) -> None:
+        call, answer = self._call, self._answer
+        if not holds(call, "a call ends once"):
+            return
+        self._call = None
+        self._rest()
+        over, wait_ms, room, limit = False, 0.0, None, None
+        if answer:
+            kind, over, wait_ms = kind_of(answer)
+            room, limit = report_of(answer)
+        elif not self._sent or self._link is None or self._link.unsent:
+            kind = our.CONNECT_FAILED
+        else:
+            kind = our.TIMEOUT if patience_over else our.RESET
+        self._calls.ended(self, call, keep and kind in KEPT,
+                          (kind, over, wait_ms, room, limit))
+
+
+class Calls:
+    """All connections to endpoints. told(call, outcome) hears of each call's end, once."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float], idle_ms: float,
+                 dial_ms: float, most_idle: int, delivered: Callable, told: Callable) -> None:
+        self.loop, self._clock, self.idle_ms, self.dial_ms = loop, clock, idle_ms, dial_ms
+        self._most_idle, self.delivered, self._told = most_idle, delivered, told
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self._idle: dict[Line, None] = {}               # oldest first
+        self._busy: dict[str, Line] = {}                # by document
+
+    def later(self, ms: float, what: Callable) -> asyncio.TimerHandle:
+        return self.loop.call_later(ms / 1000.0, what)
+
+    def __len__(self) -> int:
+        return len(self._busy)
+
+    def move(self, endpoint: str, where: tuple[str, int]) -> None:
+        """The address of an endpoint, perhaps a new one."""
+        if self.addresses.get(endpoint) != where:
+            self.addresses[endpoint] = where
+            self.close_idle(endpoint)
+
+    def begin(self, call: Call) -> None:
+        holds(call.doc not in self._busy, "one transmission of a document is out")
+        call.started = self._clock()
+        line = self._newest(call.endpoint) or Line(self, call.endpoint, self.addresses[call.endpoint])
+        self._busy[call.doc] = line
+        line.begin(call)
+
+    def _newest(self, endpoint: str) -> Line | None:
+        for line in [each for each in reversed(self._idle) if each.endpoint == endpoint]:
+            del self._idle[line]
+            if not line.stale():
+                return line
+            line.close()
+        return None
+
+    def ended(self, line: Line, call: Call, keep: bool, how: tuple) -> None:
+        self._busy.pop(call.doc, None)
+        if keep and line.where == self.addresses.get(line.endpoint):
+            self._idle[line] = None
+            line.rests()
+            if len(self._idle) > self._most_idle:
+                self.drop(next(iter(self._idle)))
+        else:
+            line.close()                # before the outcome is told: no two of one document are ever out
+        kind, over, wait_ms, room, limit = how
+        elapsed_ms = self._clock() - call.started
+        self._told(call, our.Outcome(kind, call.number, elapsed_ms, over, wait_ms, room, limit))
+
+    def drop(self, line: Line) -> None:
+        self._idle.pop(line, None)
+        line.close()
+
+    def close_idle(self, endpoint: str) -> None:
+        for line in [each for each in self._idle if each.endpoint == endpoint]:
+            self.drop(line)
+
+    def close(self) -> None:
+        for line in [*self._idle, *self._busy.values()]:
+            line.close()
--- /dev/null
+++ b/birchstack/net/config.py
@@ -0,0 +1,113 @@
+"""What a sender is told at its start: read, checked and given defaults here and nowhere else.
+
+Owns the names of the configuration and of the environment. Must never decide anything about documents: the
+decisions get their settings by birchstack.settings, and a faulty key is named in the ConfigError.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from birchstack import settings
+from birchstack.interface import Settings
+from birchstack.net.driver import address
+
+DEFAULTS = {"limits.memory_mb": 192, "limits.sockets": 1024, "limits.disk_mb": 3,
+            "settings.limits.connIdleMs": 10000.0, "settings.limits.dialTimeoutMs": 1000.0,
+            "settings.rules.answerSlackMs": 20.0}
+
+
+class ConfigError(Exception):
+    """Names the key that is missing or wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    state: str
+    seed: int
+    sockets: int                # file descriptors that the process may hold
+    disk_bytes: int
+    idle_ms: float              # an endpoint closes a connection that lies idle for so long
+    dial_ms: float              # a connection not ready by then has failed
+    kinds: tuple[str, ...]
+    known: dict                 # the list as last had, in discovery's form
+    settings: Settings
+
+
+def _at(raw: object, path: str, kind: type | tuple[type, ...]) -> object:
+    value = raw
+    for name in path.split("."):
+        value = value.get(name) if isinstance(value, dict) else None
+    if value is None:
+        if path not in DEFAULTS:
+            raise ConfigError(f"{path}: missing")
+        value = DEFAULTS[path]
+    if not isinstance(value, kind) or isinstance(value, bool):
+        raise ConfigError(f"{path}: {value!r} is of the wrong kind")
+    if isinstance(value, int | float) and not value > 0:
+        raise ConfigError(f"{path}: {value!r} is not above 0")
+    return value
+
+
+def _address(raw: dict, key: str) -> tuple[str, int]:
+    try:
+        return address(_at(raw, key, str))
+    except ValueError as problem:
+        raise ConfigError(f"{key}: {problem}") from problem
+
+
+def _seed(text: str) -> int:
+    try:
+        return int(text, 16)
+    except ValueError as problem:
+        raise ConfigError(f"seed: {text!r} is not a hexadecimal number") from problem
+
+
+def decode(raw: object, environment: Mapping[str, str]) -> Config:
+    """The configuration; the environment names what the file leaves out."""
+    if not isinstance(raw, dict):
+        raise ConfigError("the configuration is not an object")
+    told = {key: environment[f"BALANCER_{key.upper()}"] for key in ("name", "listen", "discovery", "state")
+            if environment.get(f"BALANCER_{key.upper()}")}
+    raw = {**raw, **told}
+    words, number = _at(raw, "settings", dict), (int, float)
+    for key in ("domain", "limits", "rules"):
+        _at(raw, f"settings.{key}", dict)
+    _at(raw, "settings.services", list)
+    try:
+        decided = settings.decode(words)
+    except KeyError as problem:
+        raise ConfigError(f"settings: key {problem.args[0]!r} is missing or its value unknown") from problem
+    except (TypeError, AttributeError, ValueError) as problem:
+        raise ConfigError(f"settings: {problem}") from problem
+    state = _at(raw, "state", str)
+    if not os.path.isdir(state):
+        raise ConfigError(f"state: {state!r} is not a folder")
+    known = raw.get("known") or {}
+    if not isinstance(known, dict):
+        raise ConfigError("known: not an object")
+    return Config(
+        name=_at(raw, "name", str), listen=_address(raw, "listen"), discovery=_address(raw, "discovery"),
+        state=state, seed=_seed(str(raw.get("seed") or "0")), sockets=int(_at(raw, "limits.sockets", number)),
+        disk_bytes=int(_at(raw, "limits.disk_mb", number) * 1_000_000),
+        idle_ms=float(_at(raw, "settings.limits.connIdleMs", number)),
+        dial_ms=float(_at(raw, "settings.limits.dialTimeoutMs", number)),
+        kinds=tuple(words.get("hostTypes") or ()), known=known, settings=decided)
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Config:
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG: not set; it names the configuration file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as problem:
+        raise ConfigError(f"BALANCER_CONFIG: {problem}") from problem
+    return decode(raw, environment)
--- /dev/null
+++ b/birchstack/net/discovery.py
@@ -0,0 +1,118 @@
+"""Discovery: follows the list of endpoints by a watch that is asked for again whenever it falls silent.
+
+Owns the connection to discovery's agent, the version of the list and the wire's names for its entries. Must
+never drop what was listed because discovery is away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+
+from birchstack import interface as our
+from birchstack.net import http1
+from birchstack.net.driver import Dial, Link, address
+from birchstack.net.log import say
+
+BEAT_S, BEATS = 2.0, 3                  # a line comes so often; after so many without one it is silent
+AGAIN_S = 0.5
+MOST_LINE = 4 << 20
+STATES = {"active": our.READY, "leaving": our.DRAINING, "left": our.GONE}
+log = logging.getLogger(__name__)
+
+
+def entries(lines: list[dict], kinds: tuple[str, ...]) -> list[tuple[our.Endpoint, tuple[str, int]]]:
+    """Reads a list's lines: each endpoint and its address."""
+    return [(our.Endpoint(line["uid"], int(line["pod_group"]), line.get("az") or "",
+                          kinds.index(line["model"]) if line.get("model") in kinds else 0,
+                          STATES[line["state"]], float(line.get("capacity_hint") or 0.0)),
+             address(line["endpoint"])) for line in lines]
+
+
+class Watch:
+    """listed(mode, entries) hears of every list and change."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], kinds: tuple[str, ...],
+                 listed: Callable) -> None:
+        self._loop, self._where, self._kinds, self._listed = loop, where, kinds, listed
+        self._version = 0
+        self._link: Link | None = None
+        self._dial: Dial | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._held = bytearray()
+        self._reader = http1.Responses(max_body=None)
+        self._stopped = False
+
+    def start(self, known: dict) -> None:
+        if known.get("targets") is not None:
+            self._read(json.dumps({**known, "all": True}).encode())
+        self._ask()
+
+    def stop(self) -> None:
+        self._stopped = True
+        self._hang_up()
+
+    def _ask(self) -> None:
+        self._hang_up()
+        if self._stopped:
+            return
+        self._reader, self._held = http1.Responses(max_body=None), bytearray()
+        self._rearm()
+        self._dial = Dial(self._loop, self._where, self, self._again)
+
+    def _hang_up(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+        if self._dial:
+            self._dial.stop()
+        if self._link:
+            self._link.abort()
+        self._dial = self._link = None
+
+    def _again(self) -> None:
+        self._hang_up()
+        self._timer = self._loop.call_later(AGAIN_S, self._ask)
+
+    def _rearm(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+        self._timer = self._loop.call_later(BEAT_S * BEATS, self._ask)
+
+    def opened(self, link: Link) -> None:
+        self._link, self._dial = link, None
+        after = f"&after={self._version}" if self._version else ""
+        link.write(http1.request("GET", f"/discovery/hosts?watch=1{after}", "{}:{}".format(*self._where)))
+
+    def lost(self) -> None:
+        self._link = None
+        self._again()
+
+    def received(self, data: memoryview) -> None:
+        self._rearm()
+        try:
+            for event in self._reader.feed(data):
+                if isinstance(event, http1.Response) and event.status != 200:
+                    raise http1.Malformed(f"status {event.status}")
+                if event is http1.END:
+                    self._again()
+                    return
+                if isinstance(event, bytes):
+                    self._held += event
+            *lines, rest = self._held.split(b"\n")
+            if len(rest) > MOST_LINE:
+                raise http1.Malformed("line too long")
+            self._held = rest
+            for line in lines:
+                if line.strip():
+                    self._read(line)
+        except (http1.Malformed, ValueError, KeyError, TypeError, AttributeError) as problem:
+            say(log, "malformed list", logging.WARNING, problem=f"{type(problem).__name__}: {problem}")
+            self._again()
+
+    def _read(self, line: bytes | bytearray) -> None:
+        told = json.loads(line)
+        listed = entries(told["targets"], self._kinds)
+        self._version = told["rev"]
+        self._listed(our.WHOLE if told.get("all") else our.CHANGES, listed)
--- /dev/null
+++ b/birchstack/net/driver.py
@@ -0,0 +1,132 @@
+"""The thin layer between sockets and the state machines: asyncio's BufferedProtocol, dialling, listening.
+
+Owns transports and the one buffer all are read into. Must never look into the bytes, keep a time-out or
+decide what a broken connection means: its owner is told opened, received, ended, lost, and does that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import Protocol
+
+BUFFER = memoryview(bytearray(65536))   # each read is handed on before the next one
+LINGER_S = 1.0                          # a reset would take an answer back that the peer has not read yet
+PEER_CLOSED = (7, 8, 9, 10, 11)         # TCP states: close, close-wait, last-ack, listen, closing
+
+
+class Owner(Protocol):
+    """Who holds a link. opened comes first, lost last; nothing after it."""
+
+    def opened(self, link: Link) -> None: ...
+
+    def received(self, data: memoryview) -> None: ...
+
+    def lost(self) -> None: ...
+
+
+class Link(asyncio.BufferedProtocol):
+    """One connection."""
+
+    def __init__(self, owner: Owner) -> None:
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self.unsent, self.closed = False, False     # bytes wait here for the kernel to take them
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        if self.closed:                 # given up while it was dialled
+            transport.abort()
+            return
+        transport.set_write_buffer_limits(high=0)
+        self._owner.opened(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return BUFFER
+
+    def buffer_updated(self, count: int) -> None:
+        if not self.closed:
+            self._owner.received(BUFFER[:count])
+
+    def eof_received(self) -> bool:
+        self._lost()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._lost()
+
+    def _lost(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._owner.lost()
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def write(self, data: bytes) -> None:
+        if not self.closed:
+            self._transport.write(data)
+
+    def hold(self, stop: bool) -> None:
+        """Stops or resumes reading."""
+        if not self.closed:
+            (self._transport.pause_reading if stop else self._transport.resume_reading)()
+
+    def finish(self) -> None:
+        """Ends the sending side once all is written; what still comes is read and dropped until the end."""
+        if not self.closed:
+            self.closed = True
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+                self._transport.write_eof()
+                asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+
+    def abort(self) -> None:
+        self.closed = True
+        if self._transport:
+            self._transport.abort()
+
+    def told(self) -> tuple[float, bool]:
+        """What the kernel knows: for how many milliseconds no byte has come, and whether the peer closed."""
+        try:
+            info = self._transport.get_extra_info("socket").getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, 104)
+            return float(struct.unpack_from("=I", info, 52)[0]), info[0] in PEER_CLOSED
+        except (OSError, struct.error, AttributeError):
+            return 0.0, False
+
+
+def address(text: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+class Dial:
+    """One attempt to connect; failed() is called unless the owner was told opened, or stop() came first."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], owner: Owner, failed) -> None:
+        self.link, self._failed = Link(owner), failed
+        self._task = loop.create_task(loop.create_connection(lambda: self.link, *where))
+        self._task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task) -> None:
+        if not task.cancelled() and task.exception() is not None and self._failed:
+            self._failed()
+
+    def stop(self) -> None:
+        self._failed = None
+        if self._task.done():
+            self.link.abort()
+        else:
+            self.link.closed = True
+            self._task.cancel()
+
+
+async def listen(loop: asyncio.AbstractEventLoop, where: tuple[str, int], owner) -> asyncio.Server:
+    return await loop.create_server(lambda: Link(owner()), *where, backlog=512)
--- /dev/null
+++ b/birchstack/net/ledger.py
@@ -0,0 +1,237 @@
+"""What is owed, on disk, so that it outlasts the process.
+
+Owns the folder that lasts: one file with a line for each thing that happened, checked by its sum, and one
+file for each body. Must never hold more than the limit (old and new file together, in whole blocks), never
+decide what follows from the past, and never sync: what is written outlasts the process as it is.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import logging
+import os
+import zlib
+from dataclasses import dataclass, field
+
+from birchstack.net.log import say
+
+BLOCK = 512
+LINE = 768                      # room kept for what is still to be written of one document
+GROWN = 131072                  # the file is written anew when it is so long and mostly past
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Owed:
+    """One document that was taken on; times are wall clock in milliseconds."""
+
+    id: str
+    type: str
+    destination: int
+    key: str | None
+    expiry: float
+    number: int                 # of its body's file
+    size: int
+    body: bytes = b""
+    sent: int = 0               # transmissions made
+    out: tuple[str, float] | None = None    # zone and time of the one that is out
+    doubt: list[tuple[str, float]] = field(default_factory=list)    # of those that may have run
+    notice: tuple[str, float] | None = None     # result and wait to tell, owed until it is acknowledged
+
+
+def blocks(size: int) -> int:
+    return -(-size // BLOCK) * BLOCK
+
+
+class Ledger:
+    """owed is the truth of the moment, in the order taken; every change is on disk before it returns."""
+
+    def __init__(self, folder: str, limit: int) -> None:
+        self._folder, self._limit = folder, limit - 4 * 4096    # the folder itself may count
+        self._path = os.path.join(folder, "ledger")
+        self.owed: dict[str, Owed] = {}
+        self.ended: dict[str, None] = {}        # ids that the file still tells of, for those that come again
+        self._bodies = self._size = self._next = 0
+        self._file = -1
+        self._recover()
+
+    # What happens
+
+    def fits(self, size: int) -> bool:
+        """True if another body of this size can be taken on."""
+        lines = LINE * (len(self.owed) + 1)
+        return self._bodies + blocks(size) + 2 * blocks(2 * lines) + GROWN <= self._limit
+
+    def take(self, doc_id: str, kind: str, destination: int, key: str | None, expiry: float,
+             body: bytes) -> Owed:
+        """Raises OSError where it could not be kept; nothing is owed then."""
+        owed = Owed(doc_id, kind, destination, key, expiry, self._next, len(body), body)
+        self._next += 1
+        if body:
+            try:
+                with open(self._body(owed), "wb") as file:
+                    file.write(body)
+            except OSError:
+                self._drop(owed)
+                raise
+        self._append(self._taken(owed))
+        self._bodies += blocks(owed.size)
+        self.owed[doc_id] = owed
+        return owed
+
+    def call(self, owed: Owed, zone: str, when: float) -> None:
+        """A transmission is about to leave."""
+        self._append(["call", owed.id, zone, when])
+        owed.sent, owed.out = owed.sent + 1, (zone, when)
+
+    def back(self, owed: Owed, doubt: bool) -> None:
+        """The transmission that was out has its outcome."""
+        if owed.out and doubt:
+            owed.doubt.append(owed.out)
+        owed.out = None
+        self._append(["back", owed.id, int(doubt)])
+        self._tidy()
+
+    def notice(self, owed: Owed, result: str, wait_ms: float) -> None:
+        """The document is over and the platform is owed a notice."""
+        owed.notice = result, wait_ms
+        self._append(["notice", owed.id, result, wait_ms])
+        self._forget_body(owed)
+
+    def done(self, owed: Owed) -> None:
+        """Nothing more is owed."""
+        if self.owed.pop(owed.id, None) is None:
+            return
+        self.ended[owed.id] = None
+        self._append(["done", owed.id])
+        self._forget_body(owed)
+        self._tidy()
+
+    def close(self) -> None:
+        os.close(self._file)
+
+    def _tidy(self) -> None:
+        if self._size > max(GROWN, 2 * LINE * len(self.owed)):
+            self.compact()
+
+    # On disk
+
+    def _body(self, owed: Owed) -> str:
+        return os.path.join(self._folder, f"body-{owed.number}")
+
+    def _drop(self, owed: Owed) -> None:
+        with contextlib.suppress(OSError):
+            os.unlink(self._body(owed))
+
+    def _forget_body(self, owed: Owed) -> None:
+        if owed.size:
+            self._drop(owed)
+        self._bodies -= blocks(owed.size)
+        owed.size, owed.body = 0, b""
+
+    @staticmethod
+    def _line(words: list) -> bytes:
+        text = json.dumps(words, separators=(",", ":")).encode()
+        return b"%08x %s\n" % (zlib.crc32(text), text)
+
+    @staticmethod
+    def _taken(owed: Owed) -> list:
+        return ["take", owed.id, owed.type, owed.destination, owed.key, owed.expiry, owed.number, owed.size]
+
+    def _append(self, words: list) -> None:
+        line = self._line(words)
+        written = os.write(self._file, line)
+        self._size += written
+        if written < len(line):
+            raise OSError(f"{written} of {len(line)} bytes written")
+
+    def _lines_of(self, owed: Owed) -> list[list]:
+        """The shortest past that leads to this document's present."""
+        words = [self._taken(owed), ["past", owed.id, owed.sent, owed.out, owed.doubt]]
+        return words + ([["notice", owed.id, *owed.notice]] if owed.notice else [])
+
+    def compact(self) -> None:
+        """Writes the file anew with only what is owed; until the new one has its name the old one counts."""
+        text = b"".join(self._line(words) for owed in self.owed.values() for words in self._lines_of(owed))
+        fresh = os.open(self._path + ".new", os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        try:
+            if os.write(fresh, text) < len(text):
+                raise OSError("no room for the new ledger")
+            os.rename(self._path + ".new", self._path)
+        except OSError as problem:
+            os.close(fresh)
+            say(log, "not compacted", logging.ERROR, problem=problem)
+            return
+        if self._file >= 0:
+            os.close(self._file)
+        self._file, self._size = fresh, len(text)
+
+    # At the start
+
+    def _recover(self) -> None:
+        try:
+            with open(self._path, "rb") as file:
+                lines = file.read().split(b"\n")
+        except FileNotFoundError:
+            lines = []
+        torn = 0
+        for line in filter(None, lines):
+            try:
+                if int(line[:8], 16) != zlib.crc32(line[9:]):
+                    raise ValueError("sum")
+                self._replay(*json.loads(line[9:]))
+            except (ValueError, TypeError, KeyError):
+                torn += 1               # a record that was being written at the end, or a broken disk
+        for owed in self.owed.values():
+            if owed.out:
+                owed.doubt.append(owed.out)     # it may have run, and its outcome will not come
+                owed.out = None
+        self._load_bodies()
+        self.compact()
+        if lines:
+            say(log, "recovered", owed=len(self.owed), torn=torn)
+
+    def _replay(self, what: str, doc_id: str, *words) -> None:
+        if what == "take":
+            self.owed[doc_id] = Owed(doc_id, *words)
+            self._next = max(self._next, self.owed[doc_id].number + 1)
+            return
+        owed = self.owed[doc_id]
+        if what == "call":
+            owed.sent, owed.out = owed.sent + 1, (words[0], words[1])
+        elif what == "back":
+            if words[0] and owed.out:
+                owed.doubt.append(owed.out)
+            owed.out = None
+        elif what == "past":
+            owed.sent, owed.out = words[0], tuple(words[1]) if words[1] else None
+            owed.doubt = [(zone, when) for zone, when in words[2]]
+        elif what == "notice":
+            owed.notice = words[0], words[1]
+        elif what == "done":
+            del self.owed[doc_id]
+            self.ended[doc_id] = None
+
+    def _load_bodies(self) -> None:
+        wanted = set()
+        for owed in self.owed.values():
+            if owed.notice:
+                owed.size = 0
+            if not owed.size:
+                continue
+            try:
+                with open(self._body(owed), "rb") as file:
+                    owed.body = file.read()
+            except OSError:
+                owed.body = b""
+            if len(owed.body) == owed.size:
+                wanted.add(os.path.basename(self._body(owed)))
+                self._bodies += blocks(owed.size)
+            else:                       # cannot be sent any more: its end is still owed
+                say(log, "body lost", logging.ERROR, doc=owed.id)
+                owed.size, owed.body, owed.notice = 0, b"", ("dead", 0.0)
+        for name in os.listdir(self._folder):
+            if name.startswith("body-") and name not in wanted or name == "ledger.new":
+                with contextlib.suppress(OSError):
+                    os.unlink(os.path.join(self._folder, name))
--- /dev/null
+++ b/birchstack/net/sender.py
@@ -0,0 +1,252 @@
+"""The host of the decisions: one sender, from its start to its end.
+
+Owns the clock, the turns (all events of one pass of the loop are one turn), the alarm and the order in which
+things become true: the ledger, then the answer to the client, then the call. Must never decide which document
+goes where, when, or how it ends: the decisions do, and what they say is carried out here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import time
+
+from birchstack import interface as our
+from birchstack.decide import NEVER_RAN, Sender
+from birchstack.net.calls import Call, Calls
+from birchstack.net.config import Config
+from birchstack.net.discovery import Watch
+from birchstack.net.front import Front, Handed
+from birchstack.net.ledger import Ledger
+from birchstack.net.log import broken, holds, say
+from birchstack.net.notices import Notices
+
+CLIENT_MS = 400.0               # a client waits so long for its answer
+LISTEN_S, CALL_S, END_S = 0.8, 1.6, 3.4     # after SIGTERM: new clients, new calls, answers to calls
+REMEMBERED = 4096               # answers kept for ids that come again
+log = logging.getLogger(__name__)
+
+
+class Node:
+    """Carries out what the decisions say, and tells them what happens."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self._config, self._loop, self._began = config, loop, loop.time()
+        self._core = Sender(config.settings, config.seed, self)
+        self._ledger = Ledger(config.state, config.disk_bytes)
+        spare = max(64, config.sockets - 128)
+        self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, spare // 3, self._delivered,
+                            self._ended)
+        types = {kind.name for kind in config.settings.types}
+        self._front = Front(loop, types, spare // 2, self._handed)
+        self._watch = Watch(loop, config.discovery, config.kinds, self._listed)
+        self._notices = Notices(loop, config.discovery, self._acknowledged)
+        self._inbox: list[tuple] = []           # the events of this pass
+        self._fresh: dict[str, Handed] = {}     # handed in during this turn, not yet answered
+        self._starting: dict[str, Call] = {}    # calls that leave at the end of this turn
+        self._answers: dict[str, tuple[int, dict]] = {}     # by id, for those that come again
+        self._zones: dict[str, str] = {}
+        self._turn_due = False
+        self._closing_at: float | None = None
+        self.ended = loop.create_future()
+
+    def clock(self) -> float:
+        """Milliseconds since the start."""
+        return (self._loop.time() - self._began) * 1000.0
+
+    async def start(self) -> None:
+        """Takes up what is owed, then opens the door."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self.close)
+        self._watch.start(self._config.known)
+        now, wall = self.clock(), time.time() * 1000.0
+        for owed in [*self._ledger.owed.values()]:
+            if owed.notice:
+                self._notices.tell(owed.id, *owed.notice)
+                continue
+            past = our.Past(owed.sent, tuple((now + when - wall, zone) for zone, when in owed.doubt))
+            self._inbox.append((self._core.document, owed.id, owed.destination, owed.type,
+                                owed.expiry - wall, owed.key, past))
+        self._turn()
+        await self._front.open(self._config.listen)
+        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._zones))
+
+    # Events: gathered, and told in one turn
+
+    def _happened(self, *event: object) -> None:
+        self._inbox.append(event)
+        self._soon()
+
+    def _soon(self) -> None:
+        if not self._turn_due:
+            self._turn_due = True
+            self._loop.call_soon(self._turn)
+
+    def _handed(self, handed: Handed) -> None:
+        self._happened(self._take_on, handed)
+
+    def _listed(self, mode: str, listed: list) -> None:
+        for entry, where in listed:
+            if entry.state != our.GONE:
+                self._calls.move(entry.name, where)
+            else:
+                self._calls.close_idle(entry.name)
+            self._zones[entry.name] = entry.zone
+        self._happened(self._core.endpoints, mode, [entry for entry, _ in listed])
+
+    def _delivered(self, call: Call) -> None:
+        """The first line of an answer says so; the rest of it cannot change that."""
+        owed = self._ledger.owed.get(call.doc)
+        if owed and holds(owed.notice is None, "a document has one end"):
+            self._ledger.done(owed)
+
+    def _ended(self, call: Call, outcome: our.Outcome) -> None:
+        owed = self._ledger.owed.get(call.doc)
+        if owed:
+            if outcome.over:
+                self._ledger.done(owed)
+            elif owed.notice is None:
+                self._ledger.back(owed, outcome.kind not in NEVER_RAN)
+        self._happened(self._core.outcome, call.doc, call.endpoint, outcome)
+
+    def _acknowledged(self, ids: list[str]) -> None:
+        for doc_id in ids:
+            owed = self._ledger.owed.get(doc_id)
+            if owed:
+                self._ledger.done(owed)
+
+    # The turn
+
+    def _turn(self) -> None:
+        self._turn_due = False
+        events, self._inbox = self._inbox, []
+        now = self.clock()
+        for tell, *words in events:
+            if tell == self._take_on:
+                self._take_on(now, *words)
+            else:
+                self._guarded(tell, now, *words)
+        if self._closing_at is None or self._loop.time() < self._closing_at + CALL_S:
+            self._guarded(self._core.turn, now)
+        self._settle()
+
+    def _guarded(self, tell, *words: object) -> None:
+        try:
+            tell(*words)
+        except Exception:       # a fault of the decisions must not end what else is owed
+            log.exception("a fault of the decisions")
+            holds(False, "the decisions do not fail")
+
+    def _take_on(self, now: float, handed: Handed) -> None:
+        """Before the turn: what needs no decision is answered, the rest is put to the decisions."""
+        age, gone = handed.told()
+        if handed.id in self._fresh or gone or age >= CLIENT_MS:
+            handed.reply(503)
+        elif handed.id in self._answers:
+            handed.reply(*self._answers[handed.id])
+        elif handed.id in self._ledger.owed or handed.id in self._ledger.ended:
+            handed.reply(202)
+        elif self._closing_at is not None or not self._ledger.fits(len(handed.body)):
+            self._answer(handed, 503, {})
+        else:
+            handed.left_ms -= age
+            self._fresh[handed.id] = handed
+            self._guarded(self._core.document, now, handed.id, handed.destination, handed.type,
+                          handed.left_ms, handed.key)
+
+    def _answer(self, handed: Handed, status: int, fields: dict) -> None:
+        self._answers[handed.id] = status, fields
+        if len(self._answers) > REMEMBERED:
+            del self._answers[next(iter(self._answers))]
+        handed.reply(status, fields, close=self._closing_at is not None)
+
+    def _settle(self) -> None:
+        """After the turn: the ledger, then the answers, then the calls."""
+        fresh, self._fresh = self._fresh, {}
+        wall = time.time() * 1000.0
+        for handed in fresh.values():
+            try:
+                self._ledger.take(handed.id, handed.type, handed.destination, handed.key,
+                                  wall + handed.left_ms, handed.body)
+            except OSError as problem:
+                say(log, "not taken on", logging.ERROR, problem=problem)
+                self._starting.pop(handed.id, None)
+                self._happened(self._core.withdrawn, handed.id)
+                self._answer(handed, 503, {})
+            else:
+                self._answer(handed, 202, {})
+        starting, self._starting = self._starting, {}
+        for call in starting.values():
+            owed = self._ledger.owed[call.doc]
+            call.body = owed.body
+            try:
+                self._ledger.call(owed, self._zones.get(call.endpoint, ""), wall)
+            except OSError as problem:
+                say(log, "not sent", logging.ERROR, problem=problem)
+                self._happened(self._core.outcome, call.doc, call.endpoint,
+                               our.Outcome(our.UNSENT, call.number, 0.0, False))
+            else:
+                self._calls.begin(call)
+
+    # What the decisions ask for
+
+    def transmit(self, doc_id: str, endpoint: str, patience_ms: float) -> None:
+        owed = self._ledger.owed.get(doc_id)
+        number = owed.sent if owed else 0
+        self._starting[doc_id] = Call(doc_id, number, endpoint, b"", patience_ms)
+
+    def reject(self, doc_id: str, retry_after_ms: float) -> None:
+        if doc_id in self._fresh:
+            fields = {"Retry-After": f"{retry_after_ms / 1000.0:g}"} if retry_after_ms else {}
+            self._answer(self._fresh.pop(doc_id), 429, fields)
+        else:
+            self._owe_notice(doc_id, "bounced", retry_after_ms)
+
+    def abandon(self, doc_id: str) -> None:
+        if doc_id in self._fresh:
+            self._answer(self._fresh.pop(doc_id), 500, {})
+        else:
+            self._owe_notice(doc_id, "dead", 0.0)
+
+    def _owe_notice(self, doc_id: str, result: str, wait_ms: float) -> None:
+        owed = self._ledger.owed.get(doc_id)
+        if holds(owed and owed.notice is None, "a document has one end"):
+            self._ledger.notice(owed, result, wait_ms)
+            self._notices.tell(doc_id, result, wait_ms)
+
+    def close_idle(self, endpoint: str) -> None:
+        self._calls.close_idle(endpoint)
+
+    def wake(self, after_ms: float) -> None:
+        self._loop.call_later(after_ms / 1000.0, self._soon)
+
+    def subscribe(self) -> None:
+        """The watch is always kept, and asked for again by itself."""
+
+    def log(self, text: str) -> None:
+        say(log, text)
+
+    # The end
+
+    def close(self) -> None:
+        """SIGTERM: takes no more, answers what comes, finishes what it can, leaves the rest in the ledger."""
+        if self._closing_at is not None:
+            return
+        self._closing_at = self._loop.time()
+        say(log, "closing", owed=len(self._ledger.owed), out=len(self._calls))
+        self._front.close()
+        self._loop.call_later(LISTEN_S, self._front.shut)
+        self._loop.call_later(LISTEN_S, self._maybe_over)
+
+    def _maybe_over(self) -> None:
+        past = self._loop.time() - self._closing_at
+        busy = self._ledger.owed if past < CALL_S else len(self._calls) or len(self._notices)
+        if busy and past < END_S:
+            self._loop.call_later(0.05, self._maybe_over)
+            return
+        say(log, "closed", owed=len(self._ledger.owed), out=len(self._calls), broken=dict(broken))
+        self._watch.stop()
+        self._calls.close()
+        if not self.ended.done():
+            self.ended.set_result(None)
