--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -1,8 +1,7 @@
 """Calls to endpoints: their connections, the pool of idle ones, and how each call ended.
 
-Owns every connection to an endpoint, the time-outs of calls and dials, and the table of
-outcomes. Must never choose an endpoint, send anything again by itself, or keep a connection that the decisions
-count as gone.
+Owns every connection to an endpoint, the time-outs of calls and dials, and the table of outcomes. Must never
+choose an endpoint, send anything again by itself, or keep a connection that the decisions count as gone.
 """
 
 from __future__ import annotations
