A second front needs no HTTP: the sender answers in the project's words; compaction may fail unharmed

Seen by reading: Node spoke status codes to the front (sender._answer), and an OSError while the ledger is written anew would have ended the outcome under way (Ledger.compact).

--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -16,7 +16,7 @@
 from birchstack.net.driver import Dial, Link, address
 from birchstack.net.log import say
 
-BEAT_S, BEATS = 2.0, 3                  # a line comes so often; after so many without one it is silent
+BEAT_S, BEATS = 2.0, 2.5                # a line comes so often; after so many without one it is silent
 AGAIN_S = 0.5
 MOST_LINE = 4 << 20
 STATES = {"active": our.READY, "leaving": our.DRAINING, "left": our.GONE}
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -15,6 +15,8 @@
 from birchstack.net.driver import Link, listen
 from birchstack.net.log import say
 
+TAKEN, REJECTED, ABANDONED = "taken", "rejected", "abandoned"
+STATUS = {TAKEN: 202, REJECTED: 503, ABANDONED: 500}
 READY_PATHS = ("/up", "/alive")
 HALF_READ_S = 5.0                       # a request must be whole after so long
 log = logging.getLogger(__name__)
@@ -58,11 +60,14 @@
         lay_ms, gone = self._client.link.told()
         return lay_ms + self._client.since_ms(self._began), gone
 
-    def reply(self, status: int, fields: dict | None = None, close: bool = False) -> None:
+    def reply(self, verdict: str, wait_ms: float = 0.0, close: bool = False) -> None:
+        """What became of it, in the project's words; wait_ms is advice to the client."""
+        status = 429 if verdict == REJECTED and wait_ms > 0.0 else STATUS[verdict]
+        fields = {"Retry-After": f"{wait_ms / 1000.0:g}"} if status == 429 else {}
         self.answer = http1.response(status, fields, close)
         self._client.flush(close)
         for each in self.again:
-            each.reply(status, fields, close)
+            each.reply(verdict, wait_ms, close)
 
 
 class Said:
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -164,17 +164,19 @@
     def compact(self) -> None:
         """Writes the file anew with only what is owed; until the new one has its name the old one counts."""
         text = b"".join(self._line(words) for owed in self.owed.values() for words in self._lines_of(owed))
-        fresh = os.open(self._path + ".new", os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        fresh = -1
         try:
+            fresh = os.open(self._path + ".new", os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
             if os.write(fresh, text) < len(text):
                 raise OSError("no room for the new ledger")
             os.rename(self._path + ".new", self._path)
         except OSError as problem:
-            os.close(fresh)
+            if fresh >= 0:
+                os.close(fresh)
+            self._size = 0              # tried again when as much has been written once more
             say(log, "not compacted", logging.ERROR, problem=problem)
             return
-        if self._file >= 0:
-            os.close(self._file)
+        os.close(self._file)
         self._file, self._size = fresh, len(text)
 
     # At the start
@@ -198,6 +200,7 @@
                 owed.doubt.append(owed.out)     # it may have run, and its outcome will not come
                 owed.out = None
         self._load_bodies()
+        self._file = os.open(self._path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
         self.compact()
         if lines:
             say(log, "recovered", owed=len(self.owed), torn=torn)
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -17,7 +17,7 @@
 from birchstack.net.calls import Call, Calls
 from birchstack.net.config import Config
 from birchstack.net.discovery import Watch
-from birchstack.net.front import Front, Handed
+from birchstack.net.front import ABANDONED, REJECTED, TAKEN, Front, Handed
 from birchstack.net.ledger import Ledger
 from birchstack.net.log import broken, holds, say
 from birchstack.net.notices import Notices
@@ -46,7 +46,7 @@
         self._inbox: list[tuple] = []           # the events of this pass
         self._fresh: dict[str, Handed] = {}     # handed in during this turn, not yet answered
         self._starting: dict[str, Call] = {}    # calls that leave at the end of this turn
-        self._answers: dict[str, tuple[int, dict]] = {}     # by id, for those that come again
+        self._answers: dict[str, tuple[str, float]] = {}    # by id, for those that come again
         self._zones: dict[str, str] = {}
         self._turn_due, self._turned_at = False, 0.0
         self._closing_at: float | None = None
@@ -161,29 +161,29 @@
         """Before the turn: what needs no decision is answered, the rest is put to the decisions."""
         age, gone = handed.told()
         if gone or age >= CLIENT_MS:
-            handed.reply(503)                   # nobody hears it, and nothing was taken on
+            handed.reply(REJECTED)              # nobody hears it, and nothing was taken on
         elif handed.id in self._fresh:
             self._fresh[handed.id].again.append(handed)
         elif handed.id in self._answers:
             handed.reply(*self._answers[handed.id])
         elif handed.id in self._ledger.owed or handed.id in self._ledger.ended:
-            handed.reply(202)
+            handed.reply(TAKEN)
         elif self._closing_at is not None or not self._ledger.fits(
                 [len(handed.body), *(len(each.body) for each in self._fresh.values())]):
-            self._answer(handed, 503, {})
+            self._answer(handed, REJECTED)
         else:
             handed.left_ms -= age
             self._fresh[handed.id] = handed
             if not self._guarded(self._core.document, now, handed.id, handed.destination, handed.type,
                                  handed.left_ms, handed.key) and self._fresh.pop(handed.id, None):
                 self._guarded(self._core.withdrawn, now, handed.id)
-                self._answer(handed, 503, {})
+                self._answer(handed, REJECTED)
 
-    def _answer(self, handed: Handed, status: int, fields: dict) -> None:
-        self._answers[handed.id] = status, fields
+    def _answer(self, handed: Handed, verdict: str, wait_ms: float = 0.0) -> None:
+        self._answers[handed.id] = verdict, wait_ms
         if len(self._answers) > REMEMBERED:
             del self._answers[next(iter(self._answers))]
-        handed.reply(status, fields, close=self._closing_at is not None)
+        handed.reply(verdict, wait_ms, close=self._closing_at is not None)
 
     def _settle(self, now: float) -> None:
         """After the turn: the ledger, then the answers, then the calls."""
@@ -197,13 +197,16 @@
                 say(log, "not taken on", logging.ERROR, problem=problem)
                 self._happened(self._core.withdrawn, handed.id)
                 self._unsent(self._starting.pop(handed.id, None))
-                self._answer(handed, 503, {})
+                self._answer(handed, REJECTED)
             else:
                 owed.due = now + handed.left_ms
-                self._answer(handed, 202, {})
+                self._answer(handed, TAKEN)
         starting, self._starting = self._starting, {}
         for call in starting.values():
-            owed = self._ledger.owed[call.doc]
+            owed = self._ledger.owed.get(call.doc)
+            if not holds(owed and owed.notice is None, "only what is owed is sent"):
+                self._unsent(call)
+                continue
             call.body = owed.body
             try:
                 self._ledger.call(owed, self._zones.get(call.endpoint, ""), wall)
@@ -227,14 +230,13 @@
 
     def reject(self, doc_id: str, retry_after_ms: float) -> None:
         if doc_id in self._fresh:
-            fields = {"Retry-After": f"{retry_after_ms / 1000.0:g}"} if retry_after_ms else {}
-            self._answer(self._fresh.pop(doc_id), 429, fields)
+            self._answer(self._fresh.pop(doc_id), REJECTED, retry_after_ms)
         else:
             self._owe_notice(doc_id, "bounced", retry_after_ms)
 
     def abandon(self, doc_id: str) -> None:
         if doc_id in self._fresh:
-            self._answer(self._fresh.pop(doc_id), 500, {})
+            self._answer(self._fresh.pop(doc_id), ABANDONED)
         else:
             self._owe_notice(doc_id, "dead", 0.0)
 
