After a restart a destination that failed three calls before it gets one call at first

The ledger keeps the count of failed transmissions (refusals are none) and Past tells it; at three for a destination its endpoints count as ill (decide.document). Ruled out: a window of one, which grows by each served call and pushes a cold destination all the same. Before: four calls at once in the story, now one. Hurts: a destination that is back already is ramped up.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -143,8 +143,7 @@
         self.per_call, self.wait_until, self.refused = per_call, 0.0, 0     # refusals in a row
         self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
-        self.room, self.room_at = 1.0, now
-        self.meter, self.served = Meter(now), Ring(now)
+        self.room, self.room_at, self.meter, self.served = 1.0, now, Meter(now), Ring(now)
 
     def wait_ms(self, now: float, usual: float) -> float:
         """How long until a told wait is over and the pace allows the next call."""
@@ -171,7 +170,7 @@
 
     def __init__(self, number: int, settings: our.Settings, now: float) -> None:
         slots, self.least = settings.slots, LEAST_TOGETHER / settings.senders
-        self.number, self.taken, self.since = number, 0, now
+        self.number, self.taken, self.failed, self.since = number, 0, 0, now
         self.routes: list[Route] = []
         self.line: list[Document] = []
         self.tokens = TOKENS
@@ -235,8 +234,7 @@
         self._destinations: dict[int, Destination] = {}
         self._endpoints: dict[str, tuple[Route, Endpoint]] = {}
         self._held: dict[str, Document] = {}
-        self._flying: dict[str, Document] = {}      # ended, with a transmission still out
-        self._keys: dict[str, Keyline] = {}
+        self._flying, self._keys = {}, {}           # ended, with a transmission still out; lines of keys
         self._ends: list[tuple[float, int, Document]] = []
         self._order, self._out, self._alarm = 0, 0, float("inf")
         self._firsts, self._repeats, self._repeats_held = Ring(0.0), Ring(0.0), False
@@ -262,6 +260,10 @@
         self._order += 1
         dest = self._destinations.setdefault(destination, Destination(destination, self._set, now))
         dest.taken += 1
+        dest.failed += past.failed
+        if past.failed and dest.failed >= STREAK:   # down before a restart: one call at first
+            for ep in [each for route in dest.routes for each in route.endpoints]:
+                ep.ill = True
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
         if key is not None and doc.kind.in_order:
             doc.keyline = self._keys.setdefault(key, Keyline())
@@ -410,8 +412,7 @@
 
     def _finish(self, doc: Document) -> None:
         """The final answer: rejected if the client may safely come again, else abandoned."""
-        bound = doc.kind.effect == BINDING or doc.kind.effect == NUMBERED and doc.kind.one_zone
-        if doc.doubt and bound:
+        if doc.lost() or doc.doubt and doc.kind.effect == NUMBERED and doc.kind.one_zone:
             self._host.abandon(doc.id)
         else:
             self._host.reject(doc.id, self._set.retry_after_ms)
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -66,6 +66,7 @@
     """What became of a document before its sender started again; times are the clock's, perhaps below 0."""
 
     sent: int = 0                                   # transmissions made
+    failed: int = 0                                 # of those, failed otherwise than by a refusal
     doubt: tuple[tuple[float, str], ...] = ()       # time and zone of those that may have run
 
 
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -36,6 +36,7 @@
     body: bytes = b""
     due: float = 0.0            # its expiry on the sender's own clock; not on disk
     sent: int = 0               # transmissions made
+    failed: int = 0             # of those, failed otherwise than by a refusal
     out: tuple[str, float] | None = None    # zone and time of the one that is out
     doubt: list[tuple[str, float]] = field(default_factory=list)    # of those that may have run
     notice: tuple[str, float] | None = None     # result and wait to tell, owed until it is acknowledged
@@ -88,12 +89,10 @@
         self._append(["call", owed.id, zone, when])
         owed.out = zone, when
 
-    def back(self, owed: Owed, doubt: bool) -> None:
+    def back(self, owed: Owed, doubt: bool, failed: bool) -> None:
         """The transmission that was out has its outcome."""
-        if owed.out and doubt:
-            owed.doubt.append(owed.out)
-        owed.out = None
-        self._note(["back", owed.id, int(doubt)])
+        self._came_back(owed, doubt, failed)
+        self._note(["back", owed.id, int(doubt), int(failed)])
         self._tidy()
 
     def notice(self, owed: Owed, result: str, wait_ms: float) -> None:
@@ -118,6 +117,12 @@
         if self._size > max(GROWN, 2 * LINE * len(self.owed)):
             self.compact()
 
+    @staticmethod
+    def _came_back(owed: Owed, doubt: int, failed: int) -> None:
+        if owed.out and doubt:
+            owed.doubt.append(owed.out)
+        owed.failed, owed.out = owed.failed + bool(failed), None
+
     # On disk
 
     def _body(self, owed: Owed) -> str:
@@ -158,7 +163,7 @@
 
     def _lines_of(self, owed: Owed) -> list[list]:
         """The shortest past that leads to this document's present."""
-        words = [self._taken(owed), ["past", owed.id, owed.sent, owed.out, owed.doubt]]
+        words = [self._taken(owed), ["past", owed.id, owed.sent, owed.failed, owed.out, owed.doubt]]
         return words + ([["notice", owed.id, *owed.notice]] if owed.notice else [])
 
     def compact(self) -> None:
@@ -214,12 +219,10 @@
         if what == "call":
             owed.sent, owed.out = owed.sent + 1, (words[0], words[1])
         elif what == "back":
-            if words[0] and owed.out:
-                owed.doubt.append(owed.out)
-            owed.out = None
+            self._came_back(owed, *words)
         elif what == "past":
-            owed.sent, owed.out = words[0], tuple(words[1]) if words[1] else None
-            owed.doubt = [(zone, when) for zone, when in words[2]]
+            owed.sent, owed.failed, out, doubt = words
+            owed.out, owed.doubt = tuple(out) if out else None, [(zone, when) for zone, when in doubt]
         elif what == "notice":
             owed.notice = words[0], words[1]
         elif what == "done":
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -70,7 +70,8 @@
             if owed.type not in self._front.types:
                 self._owe_notice(owed.id, "dead", 0.0)
                 continue
-            past = our.Past(owed.sent, tuple((now + when - wall, zone) for zone, when in owed.doubt))
+            doubt = tuple((now + when - wall, zone) for zone, when in owed.doubt)
+            past = our.Past(owed.sent, owed.failed, doubt)
             self._inbox.append((self._core.document, owed.id, owed.destination, owed.type,
                                 owed.expiry - wall, owed.key, past))
         self._turn()
@@ -113,7 +114,8 @@
             if outcome.over:
                 self._ledger.done(owed)
             elif owed.notice is None:
-                self._ledger.back(owed, outcome.kind not in NEVER_RAN)
+                failed = outcome.kind not in (our.FULL, our.UNSENT)
+                self._ledger.back(owed, outcome.kind not in NEVER_RAN, failed)
         self._happened(self._core.outcome, call.doc, call.endpoint, outcome)
 
     def _acknowledged(self, ids: list[str]) -> None:
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -1,4 +1,4 @@
-"""A toy surrounding for one sender: two endpoints of destination 1, and the platform with its list and notices.
+"""A toy surrounding for one sender: two endpoints of destination 1, and the platform.
 
     python examples/toy.py          endpoints on 127.0.0.1:9001 and 9002, the platform on 127.0.0.1:9000
 
@@ -43,7 +43,8 @@
             writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
             continue
         targets = [{"uid": name, "endpoint": f"127.0.0.1:{port}", "az": "a", "model": "shop", "pod_group": 1,
-                    "state": "active", "capacity_hint": 1.0, "boot_ms": 0} for name, port in ENDPOINTS.items()]
+                    "state": "active", "capacity_hint": 1.0, "boot_ms": 0}
+                   for name, port in ENDPOINTS.items()]
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         line = json.dumps({"rev": 1, "all": True, "targets": targets}).encode() + b"\n"
         while not writer.is_closing():
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -63,6 +63,13 @@
         self.sender.document(self.now, doc_id, destination, kind, left, key)
         self.sender.turn(self.now)
 
+    def back(self, docs, kind="sync", key=None, **past):
+        """Documents that a sender before this one held, all in one turn; doubt at the time 0."""
+        for doc_id in docs:
+            self.number[doc_id] = past.get("sent", 0) - 1
+            self.sender.document(self.now, doc_id, 1, kind, 20000.0, key, our.Past(**past))
+        self.sender.turn(self.now)
+
     def ends(self, doc_id, kind, after=0.0, over=None, **words):
         self.at(self.now + after)
         endpoint = [where for doc, where in self.calls if doc == doc_id][-1]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -172,3 +172,47 @@
         story.take(f"e{number}")
     story.listed(["b"], our.CHANGES)
     assert len(story.calls) == 1
+
+
+def test_a_binding_document_in_doubt_before_a_restart_is_abandoned_at_once():
+    story = Story()
+    story.back(["d"], "pay", sent=1, doubt=((0.0, "a"),))
+    assert story.said == [("d", "abandoned")] and not story.calls
+
+
+@pytest.mark.parametrize("kind, past", [("sync", dict(sent=2, doubt=((0.0, "a"),))), ("pay", dict(sent=1)),
+                                        ("order", dict(sent=1, doubt=((0.0, "a"),)))])
+def test_what_may_still_be_sent_after_a_restart_is_sent_with_its_count(kind, past):
+    story = Story()
+    story.back(["d"], kind, **past)
+    assert story.tries("d") == 1
+    for _ in range(story.sender._set.max_transmissions - past["sent"] - 1):
+        story.ends("d", our.CONNECT_FAILED, 100)
+        story.at(story.now + 5000.0 if story.tries("d") == 1 else story.now + 2500.0)
+    assert past["sent"] + story.tries("d") <= story.sender._set.max_transmissions
+
+
+def test_a_numbered_document_whose_window_passed_with_the_restart_is_not_sent():
+    story = Story()
+    story.at(6000.0)
+    story.back(["d"], "order", sent=1, doubt=((0.0, "a"),))
+    assert not story.calls and len(story.said) == 1
+
+
+def test_after_a_restart_order_is_kept_and_a_key_in_doubt_rests():
+    story = Story()
+    story.back(["d1"], "turn", "k", sent=1, doubt=((0.0, "a"),))
+    story.back(["d2"], "turn", "k")
+    assert [doc for doc, _ in story.calls] == ["d1"]
+    story.ends("d1", our.OK, 100)
+    story.at(900.0)             # the call that was out before the restart may still run
+    assert not story.tries("d2")
+    story.at(1200.0)
+    assert story.tries("d2") == 1
+
+
+@pytest.mark.parametrize("failed, out", [(0, 4), (1, 1)])
+def test_a_destination_that_failed_before_a_restart_is_tried_with_one_call(failed, out):
+    story = Story()
+    story.back(["d1", "d2", "d3", "d4"], sent=failed, failed=failed)
+    assert len(story.calls) == out
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -27,14 +27,14 @@
     owed = ledger.owed["a"]
     for doubt in (True, False):
         ledger.call(owed, "az", 100.0)
-        ledger.back(owed, doubt)
+        ledger.back(owed, doubt, True)
     ledger.call(owed, "bz", 200.0)              # and this one is out at the end
     ledger.done(ledger.owed["b"])
     for _ in range(2):                          # the second time from what the first wrote anew
         again = Ledger(str(tmp_path), 3_000_000)
         assert [*again.owed] == ["z", "a"]
         back = again.owed["a"]
-        assert (back.sent, back.body, back.expiry, back.out) == (3, b"aaa", 9000.0, None)
+        assert (back.sent, back.failed, back.body, back.expiry, back.out) == (3, 2, b"aaa", 9000.0, None)
         assert back.doubt == [("az", 100.0), ("bz", 200.0)]
 
 
@@ -84,7 +84,7 @@
         owed = take(ledger, f"{number:036}", b"x" * 65536)
         for _ in range(4):
             ledger.call(owed, "zone", 1.0)
-            ledger.back(owed, True)
+            ledger.back(owed, True, True)
         most.append(used(tmp_path))
     assert len(ledger.owed) >= 40 and max(most) <= limit and len(most) > 2000
     assert len(Ledger(str(tmp_path), limit).owed) == len(ledger.owed)
