--- a/birchstack/net/driver.py
+++ b/birchstack/net/driver.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 BUFFER = memoryview(bytearray(65536))   # each read is handed on before the next one
+BACKLOG = 128                           # so many are accepted in one pass at most
 LINGER_S = 1.0                          # a reset would take an answer back that the peer has not read yet
 PEER_CLOSED = (7, 8, 9, 10, 11)         # TCP states: close, close-wait, last-ack, listen, closing
 
@@ -129,4 +130,4 @@
 
 
 async def listen(loop: asyncio.AbstractEventLoop, where: tuple[str, int], owner) -> asyncio.Server:
-    return await loop.create_server(lambda: Link(owner()), *where, backlog=512)
+    return await loop.create_server(lambda: Link(owner()), *where, backlog=BACKLOG)
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -53,7 +53,7 @@
         self._folder, self._limit = folder, limit - 4 * 4096    # the folder itself may count
         self._path = os.path.join(folder, "ledger")
         self.owed: dict[str, Owed] = {}
-        self.ended: dict[str, None] = {}        # ids that the file still tells of, for those that come again
+        self.ended: set[str] = set()            # ended before the start; the file still told of them
         self._bodies = self._size = self._next = 0
         self._file = -1
         self._recover()
@@ -105,7 +105,6 @@
         """Nothing more is owed."""
         if self.owed.pop(owed.id, None) is None:
             return
-        self.ended[owed.id] = None
         self._note(["done", owed.id])
         self._forget_body(owed)
         self._tidy()
@@ -227,7 +226,7 @@
             owed.notice = words[0], words[1]
         elif what == "done":
             del self.owed[doc_id]
-            self.ended[doc_id] = None
+            self.ended.add(doc_id)
 
     def _load_bodies(self) -> None:
         wanted = set()
