An id from before a restart is answered again, and 503 tells closed clients when to come again

Now the ids that the ledger tells of at the start stand in _answers. A request that came slowly is no longer taken for one whose client has gone (Handed.told). Refusals while closing carry the settings' Retry-After.

--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -15,8 +15,9 @@
 from birchstack.net.driver import Link, listen
 from birchstack.net.log import say
 
-TAKEN, REJECTED, ABANDONED = "taken", "rejected", "abandoned"
-STATUS = {TAKEN: 202, REJECTED: 503, ABANDONED: 500}
+TAKEN, REJECTED, CLOSED, ABANDONED = "taken", "rejected", "closed", "abandoned"     # closed: to all, for now
+STATUS = {TAKEN: 202, REJECTED: 429, CLOSED: 503, ABANDONED: 500}
+CLIENT_MS = 400.0                       # a client waits so long for its answer
 READY_PATHS = ("/up", "/alive")
 HALF_READ_S = 5.0                       # a request must be whole after so long
 log = logging.getLogger(__name__)
@@ -58,13 +59,12 @@
         if self._client.gone:
             return 0.0, True
         lay_ms, gone = self._client.link.told()
-        return lay_ms + self._client.since_ms(self._began), gone
+        return lay_ms + self._client.since_ms(self._began), gone or lay_ms >= CLIENT_MS
 
     def reply(self, verdict: str, wait_ms: float = 0.0, close: bool = False) -> None:
         """What became of it, in the project's words; wait_ms is advice to the client."""
-        status = 429 if verdict == REJECTED and wait_ms > 0.0 else STATUS[verdict]
-        fields = {"Retry-After": f"{wait_ms / 1000.0:g}"} if status == 429 else {}
-        self.answer = http1.response(status, fields, close)
+        fields = {"Retry-After": f"{wait_ms / 1000.0:g}"} if wait_ms > 0.0 else {}
+        self.answer = http1.response(STATUS[verdict], fields, close)
         self._client.flush(close)
         for each in self.again:
             each.reply(verdict, wait_ms, close)
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -17,12 +17,11 @@
 from birchstack.net.calls import Call, Calls
 from birchstack.net.config import Config
 from birchstack.net.discovery import Watch
-from birchstack.net.front import ABANDONED, REJECTED, TAKEN, Front, Handed
+from birchstack.net.front import ABANDONED, CLOSED, REJECTED, TAKEN, Front, Handed
 from birchstack.net.ledger import Ledger
 from birchstack.net.log import broken, holds, say
 from birchstack.net.notices import Notices
 
-CLIENT_MS = 400.0               # a client waits so long for its answer
 LISTEN_S, CALL_S, END_S = 0.8, 1.6, 3.4     # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
 REMEMBERED = 4096               # answers kept for ids that come again
@@ -62,6 +61,7 @@
             self._loop.add_signal_handler(number, self.close)
         self._watch.start(self._config.known)
         now, wall = self.clock(), time.time() * 1000.0
+        self._answers = {doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)}
         for owed in [*self._ledger.owed.values()]:
             owed.due = now + owed.expiry - wall
             if owed.notice:
@@ -162,24 +162,23 @@
     def _take_on(self, now: float, handed: Handed) -> None:
         """Before the turn: what needs no decision is answered, the rest is put to the decisions."""
         age, gone = handed.told()
-        if gone or age >= CLIENT_MS:
-            handed.reply(REJECTED)              # nobody hears it, and nothing was taken on
+        advice_ms = self._config.settings.retry_after_ms
+        if gone:
+            handed.reply(CLOSED)                # nobody hears it, and nothing was taken on
         elif handed.id in self._fresh:
             self._fresh[handed.id].again.append(handed)
         elif handed.id in self._answers:
             handed.reply(*self._answers[handed.id])
-        elif handed.id in self._ledger.owed or handed.id in self._ledger.ended:
-            handed.reply(TAKEN)
         elif self._closing_at is not None or not self._ledger.fits(
                 [len(handed.body), *(len(each.body) for each in self._fresh.values())]):
-            self._answer(handed, REJECTED)
+            self._answer(handed, CLOSED, advice_ms)
         else:
             handed.left_ms -= age
             self._fresh[handed.id] = handed
             if not self._guarded(self._core.document, now, handed.id, handed.destination, handed.type,
                                  handed.left_ms, handed.key) and self._fresh.pop(handed.id, None):
                 self._guarded(self._core.withdrawn, now, handed.id)
-                self._answer(handed, REJECTED)
+                self._answer(handed, CLOSED, advice_ms)
 
     def _answer(self, handed: Handed, verdict: str, wait_ms: float = 0.0) -> None:
         self._answers[handed.id] = verdict, wait_ms
@@ -199,7 +198,7 @@
                 say(log, "not taken on", logging.ERROR, problem=problem)
                 self._happened(self._core.withdrawn, handed.id)
                 self._unsent(self._starting.pop(handed.id, None))
-                self._answer(handed, REJECTED)
+                self._answer(handed, CLOSED, self._config.settings.retry_after_ms)
             else:
                 owed.due = now + handed.left_ms
                 self._answer(handed, TAKEN)
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -11,6 +11,7 @@
 
 from birchstack import interface as our
 from birchstack.decide import Sender
+from examples.toy import message as read_message
 
 TYPES = tuple(our.DocumentType(name, effect, 2000.0, 20000.0, 1.0, 0.5, one_zone, 5000.0, in_order)
               for name, effect, one_zone, in_order in [
@@ -130,16 +131,6 @@
             return port
 
 
-async def read_message(reader):
-    """The first line, the fields and the body of one message; None at the end of the stream."""
-    try:
-        first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().strip().split("\r\n")
-        fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
-        return first, fields, await reader.readexactly(int(fields.get("content-length", 0)))
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return None
-
-
 class World:
     """answers: what the endpoint says to its next calls; status: what the platform says to notices."""
 
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -295,7 +295,7 @@
         world.process.send_signal(signal.SIGTERM)
         assert await idle[0].read() == b""                  # an idle one is let go
         status, fields = await world.hand_in("late")
-        assert (status, fields["connection"]) == (503, "close")
+        assert (status, fields["connection"], fields["retry-after"]) == (503, "close", "3")
         busy[1].write(b"lo")
         assert (await read_message(busy[0]))[0][9:12] == "503"
         assert await world.process.wait() == 0 and time.monotonic() - began < 3.7
