Results on sockets; closing senders go on calling for 2.2 s of the 3.7 that they have

Seen in a probe with random restarts: SIGTERM ended a sender after 1.6 s with up to 92 ledger lines left, though nothing starts it again before SIGKILL could have come. New calls now go out for 2.2 s, and 1.3 s are left for their answers (Node.CALL_S, END_S). Ruled out: going on to the end, which leaves binding calls in doubt.

--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -22,7 +22,7 @@
 from birchstack.net.log import broken, holds, say
 from birchstack.net.notices import Notices
 
-LISTEN_S, CALL_S, END_S = 0.8, 1.6, 3.4     # after SIGTERM: new clients, new calls, answers to calls
+LISTEN_S, CALL_S, END_S = 0.8, 2.2, 3.5     # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
 REMEMBERED = 4096               # answers kept for ids that come again
 log = logging.getLogger(__name__)
