--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,92 @@
+"""The last resorts of the sender: faults that should not be, met by what is owed."""
+
+import asyncio
+import time
+
+import pytest
+from fake import config
+
+from birchstack.net import sender as module
+from birchstack.net.config import decode
+from birchstack.net.front import CLOSED, TAKEN
+
+
+class Handed:
+    """A document as a second front would hand it in."""
+
+    type, destination, key, body = "sync", 1, None, b"x"
+
+    def __init__(self, doc_id="d", left_ms=5000.0, gone=False):
+        self.id, self.left_ms, self._gone, self.said, self.again = doc_id, left_ms, gone, [], []
+
+    def told(self):
+        return 40.0, self._gone
+
+    def reply(self, verdict, wait_ms=0.0, close=False):
+        self.said.append((verdict, wait_ms))
+
+
+@pytest.fixture
+def node(tmp_path, monkeypatch):
+    """A sender whose door is not open yet; what does not hold is only written down, as in release."""
+    broken = []
+    monkeypatch.setattr(module, "holds", lambda what, text: bool(what) or broken.append(text) or False)
+
+    async def make():
+        node = module.Node(decode(config(tmp_path), {}), asyncio.get_running_loop())
+        node.broken = broken
+        return node
+    with asyncio.Runner() as runner:
+        node = runner.run(make())
+        node.run = lambda story: runner.run(story())
+        yield node
+
+
+def fault(*words):
+    raise ZeroDivisionError
+
+
+def test_a_second_front_is_answered_in_the_projects_words(node):
+    async def story():
+        handed, gone = Handed(), Handed("e", gone=True)
+        node._inbox += [(node._take_on, handed), (node._take_on, gone)]
+        node._turn()
+        assert handed.said == [(TAKEN, 0.0)] and gone.said == [(CLOSED, 0.0)]
+        assert [*node._ledger.owed] == ["d"] and handed.left_ms == 4960.0
+    node.run(story)
+
+
+def test_a_fault_of_the_decisions_at_the_door_refuses_and_owes_nothing(node):
+    async def story():
+        node._core.document = fault
+        handed = Handed()
+        node._inbox.append((node._take_on, handed))
+        node._turn()
+        assert handed.said == [(CLOSED, 3000.0)] and not node._ledger.owed and node.broken
+    node.run(story)
+
+
+def test_a_document_that_the_decisions_let_pass_its_expiry_is_abandoned(node):
+    async def story():
+        node._inbox.append((node._take_on, Handed(left_ms=300.0)))
+        node._turn()
+        node._core.turn = fault
+        time.sleep(0.5)                                 # the process stands still
+        node._look_for_overdue()
+        assert node._ledger.owed["d"].notice is None    # the decisions have had no turn since
+        node._turn()
+        node._look_for_overdue()
+        assert node._ledger.owed["d"].notice == ("dead", 0.0) and node.broken
+    node.run(story)
+
+
+def test_a_ledger_that_cannot_be_written_takes_nothing_on_and_sends_nothing(node, monkeypatch):
+    async def story():
+        monkeypatch.setattr(node._ledger, "take", lambda *words: (_ for _ in ()).throw(OSError("full")))
+        handed = Handed()
+        node._inbox.append((node._take_on, handed))
+        node._turn()
+        node._turn()
+        assert handed.said == [(CLOSED, 3000.0)] and not node._core._held and not len(node._calls)
+        assert node._core._out == 0
+    node.run(story)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,11 +1,10 @@
 """What is read at the start, what is logged, and what must hold."""
 
-import copy
 import logging
 import os
 
 import pytest
-from fake import SETTINGS
+from fake import config
 
 from birchstack.net import log
 from birchstack.net.calls import kind_of, report_of
@@ -14,18 +13,6 @@
 from birchstack.net.http1 import Response
 
 
-def config(folder, **changes):
-    raw = {"name": "n1", "listen": "127.0.0.1:5000", "discovery": "127.0.0.2:8500", "seed": "8c1f",
-           "state": str(folder), "settings": copy.deepcopy(SETTINGS)}
-    for path, value in changes.items():
-        *path, last = path.split("__")
-        at = raw
-        for name in path:
-            at = at[name]
-        at[last] = value
-    return raw
-
-
 def test_defaults_and_the_environment_fill_what_the_file_leaves_out(tmp_path):
     raw = config(tmp_path)
     del raw["listen"]
