--- a/birchstack/net/config.py
+++ b/birchstack/net/config.py
@@ -15,9 +15,8 @@
 from birchstack.interface import Settings
 from birchstack.net.driver import address
 
-DEFAULTS = {"limits.memory_mb": 192, "limits.sockets": 1024, "limits.disk_mb": 3,
-            "settings.limits.connIdleMs": 10000.0, "settings.limits.dialTimeoutMs": 1000.0,
-            "settings.rules.answerSlackMs": 20.0}
+DEFAULTS = {"limits.sockets": 1024, "limits.disk_mb": 3, "settings.limits.connIdleMs": 10000.0,
+            "settings.limits.dialTimeoutMs": 1000.0}
 NUMBERS = ("nInstances", "domain.callsOut", "limits.maxOpen", "limits.sendCap", "rules.coldFrom",
            "rules.warmUpMs")            # without these nothing can be decided
 
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -195,6 +195,9 @@
         self._server = await listen(self._loop, where, lambda: Client(self))
         self._loop.call_later(1.0, self._sweep)
 
+    def __len__(self) -> int:
+        return len(self._clients)
+
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
         if self.counts[what] <= 3:
--- a/birchstack/net/http1.py
+++ b/birchstack/net/http1.py
@@ -44,7 +44,7 @@
 def _number(text: str, base: int = 10) -> int:
     if not text or not text.isascii() or not all(letter in "0123456789abcdefABCDEF"[:10 if base == 10 else 22]
                                                  for letter in text) or len(text) > 15:
-        raise Malformed(f"not a length: {text[:20]!r}")
+        raise Malformed("not a length")
     return int(text, base)
 
 
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -24,6 +24,7 @@
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.2, 3.5     # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
+REPORT_S = 60.0
 REMEMBERED = 4096               # answers kept for ids that come again
 log = logging.getLogger(__name__)
 
@@ -77,6 +78,7 @@
         self._turn()
         await self._front.open(self._config.listen)
         self._look_for_overdue()
+        self._loop.call_later(REPORT_S, self._report)
         say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._zones))
 
     # Events: gathered, and told in one turn
@@ -150,9 +152,11 @@
 
     def _look_for_overdue(self) -> None:
         """The last resort: a document that the decisions let pass its expiry is ended all the same."""
-        late = self._turned_at - OVERDUE_MS     # of the last turn: after a stall they have theirs first
-        self._soon()
-        for owed in [each for each in self._ledger.owed.values() if each.due < late and not each.notice]:
+        late = self.clock() - OVERDUE_MS
+        overdue = [each for each in self._ledger.owed.values() if each.due < late and not each.notice]
+        if overdue:
+            self._soon()                        # after a stall the decisions have their turn first
+        for owed in [each for each in overdue if each.due < self._turned_at - OVERDUE_MS]:
             holds(owed.out is None, "no transmission lasts beyond the expiry")
             self._owe_notice(owed.id, "dead", 0.0)
             self._happened(self._core.withdrawn, owed.id)
@@ -222,6 +226,12 @@
             outcome = our.Outcome(our.UNSENT, call.number, 0.0, False)
             self._happened(self._core.outcome, call.doc, call.endpoint, outcome)
 
+    def _report(self) -> None:
+        """A line now and then for who looks after it."""
+        say(log, "state", owed=len(self._ledger.owed), out=len(self._calls), notices=len(self._notices),
+            clients=len(self._front), broken=dict(broken))
+        self._loop.call_later(REPORT_S, self._report)
+
     # What the decisions ask for
 
     def transmit(self, doc_id: str, endpoint: str, patience_ms: float) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -51,6 +51,7 @@
         handed, gone = Handed(), Handed("e", gone=True)
         node._inbox += [(node._take_on, handed), (node._take_on, gone)]
         node._turn()
+        node._report()
         assert handed.said == [(TAKEN, 0.0)] and gone.said == [(CLOSED, 0.0)]
         assert [*node._ledger.owed] == ["d"] and handed.left_ms == 4960.0
     node.run(story)
