SIGHUP moves discovery; bad clients are told in 3 s; spoilt answers end at once

A probe that wrote down what clients send showed: requests for destinations in no list (dest=70000: all 30 that were taken on), 576 connections a sender that ask GET /up once and stay, 950 that never send a whole request, types that do not exist pipelined by the hundred, bare binary. Usual clients ask for up to 12005 ms where the type has 12000.

Causes, by line of the old text: - sender.start had no handler for SIGHUP. Now config reads the file again, all or nothing; watch and notices move. - front._sweep passed over idle and silent connections, waited 5 s for half requests and was reset by each byte. Now the first request is due 2 s after connecting, the next 2 s after its first byte, and idle ones go after 3 s. - front.Handed was checked after the body, and not against the list or the type's time. Now at the head. - http1 took bare line feeds and two equal lengths, and any number of empty lines; Responses.told() lost a first line of 200 as soon as the head behind it was unreadable; events before a fault in one read were lost with it. - calls believed the 503 of an answer that was never whole, waited out the patience for one that had begun, and read bodies without a bound. The decisions counted on closed connections as idle: Outcome.kept says so now. - clients had a quarter of the descriptors at 256, less than the third that usual ones may hold: now 40 of 100. - endpoints that a whole list leaves out kept their address and idle connections.

--- a/birchstack/__main__.py
+++ b/birchstack/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import signal
 import sys
 
 from birchstack.net import log
@@ -18,6 +19,7 @@
 
 
 def main() -> int:
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])   # until it has its handler
     log.start()
     try:
         config = load()
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -280,20 +280,19 @@
         if doc is None or doc.out is None or outcome.number != doc.sent - 1:
             return
         call, doc.out = doc.out, None
-        route, ep = call.route, call.ep
         self._flying.pop(doc_id, None)
         call.docs -= 1
         if call.docs == 0:
-            self._hang_up(now, doc.destination, call, outcome.kind)
+            self._hang_up(now, doc.destination, call, outcome.kind, outcome.kept)
         if not call.heard and outcome.kind not in (UNSENT, CANCELLED):
             self._learn(now, doc.destination, call, outcome)    # once, however many share the call
         call.heard = True
         if outcome.kind not in NEVER_RAN and outcome.kind != OK:
-            doc.doubt.append((call.sent_at, ep.zone))
+            doc.doubt.append((call.sent_at, call.ep.zone))
             if doc.keyline:
                 doc.keyline.rest_until, doc.keyline.rested_by = now + self._set.key_rest_ms, doc
         if outcome.wait_ms > 0:
-            route.wait_until = max(route.wait_until, now + outcome.wait_ms)
+            call.route.wait_until = max(call.route.wait_until, now + outcome.wait_ms)
         if outcome.over and not doc.over:
             self._end(doc)
         elif not doc.over:
@@ -398,7 +397,7 @@
             meter.credit = max(0.0, meter.credit - 1.0)
         return Call(route, ep, now, idle_ms)
 
-    def _hang_up(self, now: float, dest: Destination, call: Call, kind: str) -> None:
+    def _hang_up(self, now: float, dest: Destination, call: Call, kind: str, kept: bool) -> None:
         """Gives slot, place and connection back."""
         self._out -= 1
         dest.out -= 1
@@ -406,7 +405,8 @@
         call.route.trials_out -= call.trial
         if kind != CONNECT_FAILED:
             self._idle.learn(now, call.idle_ms, kind == our.RESET or kind == our.TIMEOUT and not call.trial)
-        if kind in (OK, our.ERROR, FULL) and len(call.ep.calls) % self._set.calls_per_connection == 0:
+        kept = kept and kind in (OK, our.ERROR, FULL)
+        if kept and len(call.ep.calls) % self._set.calls_per_connection == 0:
             call.ep.idle.append(now)
             self._lying[call.ep.name] = dest, call.ep
 
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -84,6 +84,7 @@
     wait_ms: float = 0.0
     room: float | None = None
     limit: float | None = None
+    kept: bool = True               # whether the connection lies idle now, where the outcome leaves that open
 
 
 class Host(Protocol):
--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -17,7 +17,8 @@
 from birchstack.net.log import holds, say
 
 PATH = "/hook"
-KEPT = (our.OK, our.ERROR, our.FULL)    # after these the decisions count on the connection lying idle
+KEPT = (our.OK, our.ERROR, our.FULL)    # after these a connection may lie idle for the next call
+REST_MS = 500.0                         # an answer that has begun is whole after so long, or it is spoilt
 EARLIER = 0.9                           # an idle connection is closed at this part of the endpoint's own time
 log = logging.getLogger(__name__)
 
@@ -72,12 +73,12 @@
         self._dial: Dial | None = None
         self._call: Call | None = None
         self._answer: http1.Response | None = None
-        self._reader = http1.Responses(max_body=None)
-        self._sent = False              # the last byte was handed to the network
+        self._reader = http1.Responses()
+        self._sent = self._begun = False        # all was handed to the network; a first line has come
         self._timer = self._dialling = None
 
     def begin(self, call: Call) -> None:
-        self._call, self._answer = call, None
+        self._call, self._answer, self._reader, self._begun = call, None, http1.Responses(), False
         self._rest()
         self._timer = self._calls.later(call.patience_ms, self._timed_out)
         if self._link is None:
@@ -87,8 +88,8 @@
             self._write()
 
     def stale(self) -> bool:
-        """True if the endpoint has closed an idle connection already."""
-        return self._link is None or self._link.closed or self._link.told()[1]
+        """True if the endpoint has closed an idle connection already, or said what nobody asked."""
+        return self._link is None or self._link.closed or self._link.told()[1] or self._link.unread() > 0
 
     def rests(self) -> None:
         """Lies idle until the next call, or shortly before the endpoint would close it."""
@@ -128,29 +129,31 @@
             self._calls.drop(self)
             return
         try:
-            events = self._reader.feed(data)
+            for event in self._reader.feed(data):
+                if isinstance(event, http1.Response):
+                    self._answer = event
+                elif event is http1.END:        # what comes behind it belongs to nobody
+                    keep = self._answer.keep and not self._link.unsent and self._reader.between
+                    self._ends(keep, whole=True)
+                    return
         except http1.Malformed as problem:
-            say(log, "malformed answer", logging.WARNING, endpoint=self.endpoint, problem=problem)
-            self._ends(keep=False)
+            self._spoilt(str(problem))
             return
-        for event in events:
-            if self._call is None:      # more than one answer
-                self._calls.drop(self)
-                return
-            if isinstance(event, http1.Response):
-                self._answer = event
-                if event.status == 200:
-                    self._calls.delivered(self._call)
-            elif event is http1.END:
-                self._ends(keep=self._answer.keep and not self._link.unsent and self._reader.between)
-        if self._call and self._answer and self._reader.ended():
+        if self._reader.told and not self._begun:
+            self._begun = True
+            self._timer.cancel()
+            left = self._call.patience_ms - self._calls.since(self._call)
+            self._timer = self._calls.later(min(REST_MS, max(0.0, left)), self._spoilt, "not whole in time")
+            if self._reader.told == 200:
+                self._calls.delivered(self._call)
+        if self._reader.told == 200 and self._reader.ended():
             self._ends(keep=False)      # its body means nothing: no need to wait for its end
 
     def lost(self) -> None:
         if self._call is None:
             self._calls.drop(self)
         else:
-            self._ends(keep=False)
+            self._ends(keep=False, whole=self._answer is not None and self._reader.ended())
 
     # Ends of a call
 
@@ -163,21 +166,30 @@
     def _expired(self) -> None:
         self._calls.drop(self)
 
-    def _ends(self, keep: bool, patience_over: bool = False) -> None:
+    def _spoilt(self, problem: str) -> None:
+        self._calls.count_spoilt(self.endpoint, problem)
+        self._ends(keep=False, spoilt=True)
+
+    def _ends(self, keep: bool, whole: bool = False, patience_over: bool = False,
+              spoilt: bool = False) -> None:
         call, answer = self._call, self._answer
         if not holds(call, "a call ends once"):
             return
         self._call = None
         self._rest()
         over, wait_ms, room, limit = False, 0.0, None, None
-        if answer is None and self._reader.told() == 200:   # its first line is enough
-            answer = http1.Response(200, {}, False)
-            self._calls.delivered(call)
         if answer:
-            kind, over, wait_ms = kind_of(answer)
             room, limit = report_of(answer)
+        if self._reader.told == 200:    # its first line is enough, whatever follows
+            kind, over = our.OK, True
+            if not self._begun:
+                self._calls.delivered(call)
+        elif answer and whole:          # of any other, a part proves nothing
+            kind, over, wait_ms = kind_of(answer)
         elif not self._sent or self._link is None or self._link.unsent:
             kind = our.CONNECT_FAILED
+        elif spoilt:
+            kind = our.ERROR
         else:
             kind = our.TIMEOUT if patience_over else our.RESET
         self._calls.ended(self, call, keep and kind in KEPT,
@@ -192,15 +204,29 @@
         self.loop, self._clock, self.idle_ms, self.dial_ms = loop, clock, idle_ms, dial_ms
         self._most_idle, self.delivered, self._told = most_idle, delivered, told
         self.addresses: dict[str, tuple[str, int]] = {}
+        self._spoilt = 0
         self._idle: dict[Line, None] = {}               # oldest first
         self._busy: dict[str, Line] = {}                # by document
 
-    def later(self, ms: float, what: Callable) -> asyncio.TimerHandle:
-        return self.loop.call_later(ms / 1000.0, what)
+    def later(self, ms: float, what: Callable, *words: object) -> asyncio.TimerHandle:
+        return self.loop.call_later(ms / 1000.0, what, *words)
+
+    def since(self, call: Call) -> float:
+        return self._clock() - call.started
+
+    def count_spoilt(self, endpoint: str, problem: str) -> None:
+        self._spoilt += 1
+        if self._spoilt <= 3 or self._spoilt % 1000 == 0:
+            say(log, "spoilt answer", logging.WARNING, endpoint=endpoint, problem=problem, count=self._spoilt)
 
     def __len__(self) -> int:
         return len(self._busy)
 
+    def gone(self, endpoint: str) -> None:
+        """Nothing is kept of an endpoint that left the list, but for the calls that are out."""
+        self.addresses.pop(endpoint, None)
+        self.close_idle(endpoint)
+
     def move(self, endpoint: str, where: tuple[str, int]) -> None:
         """The address of an endpoint, perhaps a new one."""
         if self.addresses.get(endpoint) != where:
@@ -215,7 +241,7 @@
         line.begin(call)
 
     def _newest(self, endpoint: str) -> Line | None:
-        for line in [each for each in reversed(self._idle) if each.endpoint == endpoint]:
+        while line := next((each for each in reversed(self._idle) if each.endpoint == endpoint), None):
             del self._idle[line]
             if not line.stale():
                 return line
@@ -224,7 +250,8 @@
 
     def ended(self, line: Line, call: Call, keep: bool, how: tuple) -> None:
         self._busy.pop(call.doc, None)
-        if keep and line.where == self.addresses.get(line.endpoint):
+        kept = keep and line.where == self.addresses.get(line.endpoint)
+        if kept:
             self._idle[line] = None
             line.rests()
             if len(self._idle) > self._most_idle:
@@ -232,8 +259,8 @@
         else:
             line.close()                # before the outcome is told: no two of one document are ever out
         kind, over, wait_ms, room, limit = how
-        elapsed_ms = self._clock() - call.started
-        self._told(call, our.Outcome(kind, call.number, elapsed_ms, over, wait_ms, room, limit))
+        elapsed_ms = self.since(call)
+        self._told(call, our.Outcome(kind, call.number, elapsed_ms, over, wait_ms, room, limit, kept))
 
     def drop(self, line: Line) -> None:
         self._idle.pop(line, None)
--- a/birchstack/net/config.py
+++ b/birchstack/net/config.py
@@ -1,4 +1,4 @@
-"""What a sender is told at its start: read, checked and given defaults here and nowhere else.
+"""What a sender is told at its start and by SIGHUP: read, checked and given defaults here and nowhere else.
 
 Owns the names of the configuration and of the environment. Must never decide anything about documents: the
 decisions get their settings by birchstack.settings, and a faulty key is named in the ConfigError.
@@ -105,7 +105,8 @@
         kinds=tuple(words.get("hostTypes") or ()), known=known, settings=decided)
 
 
-def load(environment: Mapping[str, str] = os.environ) -> Config:
+def load(environment: Mapping[str, str] = os.environ, again: bool = False) -> Config:
+    """Reads the file; again: while the sender runs, when the file says where discovery is now."""
     path = environment.get("BALANCER_CONFIG")
     if not path:
         raise ConfigError("BALANCER_CONFIG: not set; it names the configuration file")
@@ -114,4 +115,6 @@
             raw = json.load(file)
     except (OSError, ValueError) as problem:
         raise ConfigError(f"BALANCER_CONFIG: {problem}") from problem
+    if again and isinstance(raw, dict) and raw.get("discovery"):
+        environment = {key: text for key, text in environment.items() if key != "BALANCER_DISCOVERY"}
     return decode(raw, environment)
--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -50,6 +50,12 @@
             self._line(json.dumps({**known, "all": True}).encode())
         self._ask()
 
+    def move(self, where: tuple[str, int]) -> None:
+        """Goes on at another address, from the version that it has."""
+        if where != self._where:
+            self._where = where
+            self._ask()
+
     def stop(self) -> None:
         self._stopped = True
         self._hang_up()
--- a/birchstack/net/driver.py
+++ b/birchstack/net/driver.py
@@ -7,12 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
+from collections.abc import Callable
 from typing import Protocol
 
 BUFFER = memoryview(bytearray(65536))   # each read is handed on before the next one
-BACKLOG = 128                           # so many are accepted in one pass at most
+ACCEPTED, BACKLOG = 16, 1024            # so many in one pass at most; so many wait for that in the kernel
+DRAINED = 262144                        # more than so much is not read of what nobody wants
 LINGER_S = 1.0                          # a reset would take an answer back that the peer has not read yet
 PEER_CLOSED = (7, 8, 9, 10, 11)         # TCP states: close, close-wait, last-ack, listen, closing
 
@@ -34,6 +38,8 @@
         self._owner = owner
         self._transport: asyncio.Transport | None = None
         self.unsent, self.closed = False, False     # bytes wait here for the kernel to take them
+        self._over: Callable[[], None] | None = None
+        self._dropped = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
@@ -49,6 +55,10 @@
     def buffer_updated(self, count: int) -> None:
         if not self.closed:
             self._owner.received(BUFFER[:count])
+        else:
+            self._dropped += count
+            if self._dropped > DRAINED:
+                self._transport.abort()
 
     def eof_received(self) -> bool:
         self._lost()
@@ -56,6 +66,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._lost()
+        if self._over:
+            self._over()
 
     def _lost(self) -> None:
         if not self.closed:
@@ -77,10 +89,10 @@
         if not self.closed:
             (self._transport.pause_reading if stop else self._transport.resume_reading)()
 
-    def finish(self) -> None:
-        """Ends the sending side once all is written; what still comes is read and dropped until the end."""
+    def finish(self, over: Callable[[], None]) -> None:
+        """Ends the sending side once all is written; what still comes is dropped until it is over."""
         if not self.closed:
-            self.closed = True
+            self.closed, self._over = True, over
             if not self._transport.is_closing():
                 self._transport.resume_reading()
                 self._transport.write_eof()
@@ -91,6 +103,14 @@
         if self._transport:
             self._transport.abort()
 
+    def unread(self) -> int:
+        """How many bytes the kernel has that were not read yet."""
+        try:
+            return struct.unpack("i", fcntl.ioctl(self._transport.get_extra_info("socket").fileno(),
+                                                  termios.FIONREAD, b"\0\0\0\0"))[0]
+        except (OSError, AttributeError):
+            return 0
+
     def told(self) -> tuple[float, bool]:
         """What the kernel knows: for how many milliseconds no byte has come, and whether the peer closed."""
         try:
@@ -130,4 +150,8 @@
 
 
 async def listen(loop: asyncio.AbstractEventLoop, where: tuple[str, int], owner) -> asyncio.Server:
-    return await loop.create_server(lambda: Link(owner()), *where, backlog=BACKLOG)
+    family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+    door = socket.create_server(where, backlog=BACKLOG, family=family)
+    server = await loop.create_server(lambda: Link(owner()), sock=door, backlog=ACCEPTED)
+    door.listen(BACKLOG)                # asyncio has one figure for both
+    return server
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import re
 from collections import deque
 from collections.abc import Callable
 
@@ -19,40 +20,58 @@
 STATUS = {TAKEN: 202, REJECTED: 429, CLOSED: 503, ABANDONED: 500}
 CLIENT_MS = 400.0                       # a client waits so long for its answer
 READY_PATHS = ("/up", "/alive")
-HALF_READ_S = 5.0                       # a request must be whole after so long
+WHOLE_S, IDLE_S = 2.0, 3.0              # a request is whole so long after its connection or its first byte;
+SWEEP_S = 0.25                          # a connection without one is closed after so long
+MOST_ASKED = 8                          # so many requests may wait for their answer on one connection
+LATE_MS = 1000.0                        # a document's time may be so much above what its type has
+ID = re.compile("[0-9A-Za-z._~:+/=@-]{1,128}")
+NUMBER = re.compile("[0-9]{1,9}")
 log = logging.getLogger(__name__)
 
 
 class Refused(Exception):
-    """Cannot be a document; names the part that is at fault."""
+    """Cannot be a document; names the part that is at fault, and what a server answers."""
+
+    def __init__(self, part: str, status: int = 400) -> None:
+        super().__init__(part)
+        self.status = status
+
+
+def _words(text: str, ends: str) -> dict[str, str]:
+    words = [word.strip().partition("=")[::2] for word in text.split(ends)]
+    if len({name for name, _ in words}) < len(words):
+        raise Refused("a word that may come only once")
+    return dict(words)
 
 
 class Handed:
-    """One document as a client handed it in, and the way back to that client."""
+    """One document as a client handed it in, checked before its body comes, and the way back to it."""
 
-    __slots__ = ("id", "type", "destination", "key", "left_ms", "body", "_client", "answer", "again",
+    __slots__ = ("id", "type", "destination", "key", "left_ms", "body", "keep", "_client", "answer", "again",
                  "_began")
 
-    def __init__(self, client: Client, head: http1.Request, body: bytes) -> None:
+    def __init__(self, client: Client, head: http1.Request, front: Front) -> None:
         fields = head.fields
-        self._client, self.body, self.answer = client, body, None
+        self._client, self.body, self.answer, self.keep = client, b"", None, head.keep
         self.again: list[Handed] = []   # the same document, over another connection
         self._began = client.began
-        self.type = head.path.lstrip("/").partition("/")[0]
+        self.type = head.path[1:].partition("/")[0]
+        if self.type not in front.types:
+            raise Refused("document type", 404)
         self.id = fields.get("request-id", "")
-        if not 0 < len(self.id) <= 128 or not self.id.isascii() or not self.id.isprintable():
+        if not ID.fullmatch(self.id):
             raise Refused("Request-Id")
         left = fields.get("request-timeout-ms", "")
-        if not left.isdecimal() or len(left) > 9:
+        if not NUMBER.fullmatch(left) or int(left) > front.types[self.type] + LATE_MS:
             raise Refused("Request-Timeout-Ms")
         self.left_ms = float(left)
-        consignee = fields.get("x-consignee", "").replace(";", ",")
-        words = dict(word.strip().partition("=")[::2] for word in consignee.split(","))
-        if not words.get("dest", "").isdecimal() or len(words["dest"]) > 9:
+        destination = _words(fields.get("x-consignee", "").replace(";", ","), ",").get("dest", "")
+        if not NUMBER.fullmatch(destination):
             raise Refused("X-Consignee")
-        self.destination = int(words["dest"])
-        cookies = dict(word.strip().partition("=")[::2] for word in fields.get("cookie", "").split(";"))
-        self.key = cookies.get("thread") or None
+        self.destination = int(destination)
+        if not front.serves(self.destination):
+            raise Refused("destination", 404)
+        self.key = _words(fields["cookie"], ";").get("thread") or None if "cookie" in fields else None
 
     def told(self) -> tuple[float, bool]:
         """How long ago the client sent it, as far as can be seen, and whether the client has gone."""
@@ -85,17 +104,24 @@
     def __init__(self, front: Front) -> None:
         self._front, self._reader = front, http1.Requests()
         self.link: Link | None = None
-        self._head: http1.Request | None = None
+        self._head: http1.Request | Handed | None = None
         self._body: list[bytes] = []
         self._owed: deque[Handed | Said] = deque()      # answers, in the order of the requests
-        self.gone, self._last, self.since, self.began = False, False, 0.0, 0.0
+        self.gone, self._last, self.asked = False, False, False
+        self.due = self.began = 0.0     # by when it must have asked, or ask again; the request's first byte
 
     @property
     def idle(self) -> bool:
-        return not self._owed and self._head is None and self._reader.between
+        """No request of it is known, whole or in part."""
+        return not self._owed and self._head is None and self._reader.between and not self.link.unread()
+
+    def spent(self) -> bool:
+        """Half a request lies there for longer than its client waits."""
+        return not self._owed and self.since_ms(self.began) > CLIENT_MS and not self.link.unread()
 
     def opened(self, link: Link) -> None:
-        self.link = link
+        self.link, self.began = link, self._front.time()
+        self.due = self.began + WHOLE_S
         self._front.joined(self)
 
     def lost(self) -> None:
@@ -106,53 +132,55 @@
         return (self._front.time() - began) * 1000.0
 
     def received(self, data: memoryview) -> None:
-        self._front.stir(self)
         if self._last:
             return
-        if self.idle:
+        self._front.stir(self)
+        if self._reader.between and self._head is None:
             self.began = self._front.time()
+            self.due = min(self.due, self.began + WHOLE_S) if not self.asked else self.began + WHOLE_S
         try:
-            events = self._reader.feed(data)
+            for event in self._reader.feed(data):
+                if isinstance(event, http1.Request):
+                    self._heard(event)
+                elif event is not http1.END:
+                    self._body.append(event)
+                else:
+                    self._asked()
+                if self._last:
+                    break
         except http1.Malformed as problem:
             self._say(problem.status, str(problem), close=True)
-            return
-        for event in events:
-            if self._last:
-                break
-            if isinstance(event, http1.Request):
-                self._head, self._body = event, []
-                if event.fields.get("expect", "").lower() == "100-continue" and not self._owed:
-                    self.link.write(http1.CONTINUE)
-            elif event is not http1.END:
-                self._body.append(event)
-            else:
-                head, self._head = self._head, None
-                self._asked(head, b"".join(self._body))
-        self._body = self._body if self._head else []
-        if self.link and self.link.unsent:  # it asks and does not read: no more until it does
+        if not self.gone and self.link.unsent:  # it asks and does not read: no more until it does
             self._front.count("slow reader closed")
             self.drop()
 
-    def _asked(self, head: http1.Request, body: bytes) -> None:
-        close = not head.keep or self._front.closing
-        if head.method == "GET":
-            known = head.path in READY_PATHS
-            status = (503 if self._front.closing else 200) if known else 404
-            self._say(status, close=close)
-            return
-        if head.method != "POST":
-            self._say(405, close=close)
-            return
-        try:
-            handed = Handed(self, head, body)
-            if handed.type not in self._front.types:
-                raise Refused("document type")
-        except Refused as problem:
-            self._say(400, str(problem), close)
-            return
-        self._last = self._last or close
-        self._owed.append(handed)
-        self._front.handed(handed)
+    def _heard(self, head: http1.Request) -> None:
+        """Looks at a head before its body comes: what can be no document is told at once."""
+        self._head, self._body = head, []
+        if len(self._owed) >= MOST_ASKED:
+            self._say(503, "too many at once", close=True)
+        elif head.method == "POST":
+            try:
+                self._head = Handed(self, head, self._front)
+            except Refused as problem:
+                self._say(problem.status, str(problem), close=True)
+                return
+            if head.fields.get("expect", "").lower() == "100-continue" and not self._owed:
+                self.link.write(http1.CONTINUE)
+        elif head.method != "GET":
+            self._say(405, close=True)
+
+    def _asked(self) -> None:
+        handed, self._head, self.asked = self._head, None, True
+        if isinstance(handed, Handed):
+            handed.body, self._body = b"".join(self._body), []
+            self._last = not handed.keep or self._front.closing
+            self._owed.append(handed)
+            self._front.handed(handed)
+        elif handed.path not in READY_PATHS:
+            self._say(404, close=True)
+        else:
+            self._say(503 if self._front.closing else 200, close=not handed.keep or self._front.closing)
 
     def _say(self, status: int, problem: str = "", close: bool = False) -> None:
         if problem:
@@ -165,15 +193,25 @@
         self._last = self._last or close
         while self._owed and self._owed[0].answer is not None:
             self.link.write(self._owed.popleft().answer)
-        if self._last and not self._owed and not self.gone:
-            self._front.left(self)
-            self.gone = True
-            self.link.finish()
+        if not self._owed:
+            self.due = self._front.time() + IDLE_S
+            if self._last and not self.gone:
+                self.gone = True
+                self._front.leaves(self)
 
     def refuse(self) -> None:
         """Says no to whatever it asks."""
         self._say(503, close=True)
 
+    def overdue(self) -> None:
+        """It has not asked in its time: one that lies idle is let go, half a request is told."""
+        if self._owed or self.link.unread():
+            return
+        if self._head is None and self._reader.between:
+            self.drop()
+        else:
+            self._say(408, "not whole in time", close=True)
+
     def drop(self) -> None:
         if self.link and not self.gone:
             self.gone = True
@@ -184,16 +222,17 @@
 class Front:
     """All clients. handed(document) hears of each document, once its last byte was read."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, types: set[str], most: int,
-                 handed: Callable[[Handed], None]) -> None:
-        self._loop, self.types, self._most, self.handed = loop, types, most, handed
+    def __init__(self, loop: asyncio.AbstractEventLoop, types: dict[str, float], most: int,
+                 serves: Callable[[int], bool], handed: Callable[[Handed], None]) -> None:
+        self._loop, self.types, self._most, self.serves, self.handed = loop, types, most, serves, handed
         self._clients: dict[Client, None] = {}          # least recently heard of first
+        self._leaving: dict[Link, None] = {}            # told their last, not closed yet
         self._server: asyncio.Server | None = None
         self.time, self.closing, self.counts = loop.time, False, {}
 
     async def open(self, where: tuple[str, int]) -> None:
         self._server = await listen(self._loop, where, lambda: Client(self))
-        self._loop.call_later(1.0, self._sweep)
+        self._loop.call_later(SWEEP_S, self._sweep)
 
     def __len__(self) -> int:
         return len(self._clients)
@@ -205,34 +244,46 @@
 
     def joined(self, client: Client) -> None:
         self._clients[client] = None
-        client.since = self.time()
-        if len(self._clients) > self._most:     # the longest silent one makes room, if it asks nothing
-            idle = next((each for each in self._clients if each.idle and each is not client), None)
-            self.count("too many clients")
-            if idle:
-                idle.flush(close=True)
-            else:
-                client.refuse()
+        if len(self._clients) + len(self._leaving) > self._most:
+            self._make_room(client)
+
+    def _make_room(self, newest: Client) -> None:
+        """Those told their last go first, then the longest silent that asks nothing; a live request never."""
+        self.count("too many clients")
+        while self._leaving and len(self._clients) + len(self._leaving) > self._most:
+            link = next(iter(self._leaving))
+            del self._leaving[link]
+            link.abort()
+        if len(self._clients) <= self._most:
+            return
+        others = (each for each in self._clients if each is not newest)
+        if free := next((each for each in others if each.idle or each.spent()), None):
+            free.drop()
+        else:
+            newest.refuse()
 
     def left(self, client: Client) -> None:
         self._clients.pop(client, None)
 
+    def leaves(self, client: Client) -> None:
+        self.left(client)
+        self._leaving[client.link] = None
+        client.link.finish(lambda: self._leaving.pop(client.link, None))
+
     def stir(self, client: Client) -> None:
         if self._clients.pop(client, self) is None:
             self._clients[client] = None
-            client.since = self.time()
 
     def _sweep(self) -> None:
-        for client in [*self._clients]:
-            if not client.idle and self.time() - client.since > HALF_READ_S:
-                self.count("half read for too long")
-                client.drop()
-        self._loop.call_later(1.0, self._sweep)
+        now = self.time()
+        for client in [each for each in self._clients if each.due <= now]:
+            client.overdue()
+        self._loop.call_later(SWEEP_S, self._sweep)
 
     def close(self) -> None:
         """Takes no more: idle clients are let go, the others with their next answer."""
         self.closing = True
-        for client in [each for each in self._clients if each.idle]:
+        for client in [each for each in self._clients if each.asked and each.idle]:
             client.flush(close=True)
 
     def shut(self) -> None:
--- a/birchstack/net/http1.py
+++ b/birchstack/net/http1.py
@@ -6,16 +6,25 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-MAX_HEAD, MAX_BODY, MAX_LINE = 16384, 65536, 1024
+MAX_HEAD, MAX_BODY, MAX_LINE = 16384, 65536, 256
+MAX_INFORMED = 32                       # so many 1xx answers may come before the one that counts
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 END = None                              # the event that closes a message
 REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-           405: "Method Not Allowed", 413: "Content Too Large", 429: "Too Many Requests",
-           431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
-           503: "Service Unavailable"}
-TOKEN = frozenset("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+           405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
+           429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+           501: "Not Implemented", 503: "Service Unavailable"}
+TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]"
+FIELD = re.compile(rf"({TOKEN}+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)")
+REQUEST_LINE = re.compile(rf"({TOKEN}{{1,16}}) ([!-~\x80-\xff]+) (HTTP/1\.[01])")
+REQUEST_BEGINS = re.compile(rf"{TOKEN}{{1,16}}( |\Z)".encode())
+STATUS_LINE = re.compile(r"(HTTP/1\.[01]) ([1-5][0-9][0-9])(?: [^\r\n]*)?")
+LENGTH = {10: re.compile("[0-9]{1,15}"), 16: re.compile("[0-9a-fA-F]{1,12}")}
+ONCE = ("content-length", "transfer-encoding", "host")
 
 
 class Malformed(Exception):
@@ -42,8 +51,7 @@
 
 
 def _number(text: str, base: int = 10) -> int:
-    if not text or not text.isascii() or not all(letter in "0123456789abcdefABCDEF"[:10 if base == 10 else 22]
-                                                 for letter in text) or len(text) > 15:
+    if not LENGTH[base].fullmatch(text):
         raise Malformed("not a length")
     return int(text, base)
 
@@ -51,16 +59,14 @@
 def _fields(lines: list[str]) -> dict[str, str]:
     fields: dict[str, str] = {}
     for line in lines:
-        name, colon, value = line.partition(":")
-        if not colon or not name or not TOKEN.issuperset(name):
+        field = FIELD.fullmatch(line)
+        if not field:
             raise Malformed("header line")
-        name, value = name.lower(), value.strip(" \t")
-        if "\0" in value or "\r" in value:
-            raise Malformed("control character in a header")
+        name, value = field[1].lower(), field[2].rstrip(" \t")
         if name in fields:
-            if name == "content-length" and fields[name] != value:
-                raise Malformed("two lengths")
-            value = value if name == "content-length" else f"{fields[name]}, {value}"
+            if name in ONCE:
+                raise Malformed("a header that may come only once")
+            value = f"{fields[name]}, {value}"
         fields[name] = value
     return fields
 
@@ -69,47 +75,52 @@
     """Cuts a stream into messages. feed() returns events: a head, pieces of its body, END; and so on."""
 
     def __init__(self, max_body: int | None = MAX_BODY) -> None:
-        self._held, self._state, self._max = bytearray(), self._head, max_body
+        self._held, self._state, self._max = bytearray(), self._first, max_body
         self._left = self._seen = 0
 
-    def feed(self, data: bytes | memoryview) -> list:
+    def feed(self, data: bytes | memoryview) -> Iterator:
+        """Each event is told before what follows it is looked at."""
         self._held += data
-        events: list = []
-        while self._state(events):
-            pass
-        return events
+        more = True
+        while more:
+            events: list = []
+            more = self._state(events)
+            yield from events
 
     @property
     def between(self) -> bool:
         """True if no byte of a message unfinished is held."""
-        return self._state == self._head and not self._held
+        return self._state == self._first and not self._held
 
     def ended(self) -> bool:
         """The stream is at its end: true if that completes a message whose length was not told."""
         return self._state == self._until_end
 
     def _line(self, most: int) -> str | None:
-        at = self._held.find(b"\n", 0, most + 2)
+        at = self._held.find(b"\r\n", 0, most + 2)
         if at < 0:
             if len(self._held) > most:
                 raise Malformed("line too long", 431)
             return None
         line = self._held[:at].decode("latin-1")
-        del self._held[:at + 1]
-        return line.removesuffix("\r")
+        del self._held[:at + 2]
+        return line
+
+    def _first(self, events: list) -> bool:
+        """A message's first bytes: what they cannot become is told before the head is whole."""
+        raise NotImplementedError
 
     def _head(self, events: list) -> bool:
-        while self._held[:2] == b"\r\n" or self._held[:1] == b"\n":     # empty lines before a first line
-            del self._held[:1 + (self._held[:1] == b"\r")]
-        ends = [(at, at + len(mark)) for mark in (b"\r\n\r\n", b"\n\n")
-                if (at := self._held.find(mark, 0, MAX_HEAD + 4)) >= 0]
-        if not ends:
+        at = self._held.find(b"\r\n\r\n", 0, MAX_HEAD + 4)
+        if at < 0:
             if len(self._held) > MAX_HEAD:
                 raise Malformed("head too long", 431)
+            if self._held.count(b"\n") != self._held.count(b"\r\n"):
+                raise Malformed("bare line feed")
             return False
-        at, after = min(ends)
-        first, *lines = self._held[:at].decode("latin-1").replace("\r\n", "\n").split("\n")
-        del self._held[:after]
+        first, *lines = self._held[:at].decode("latin-1").split("\r\n")
+        del self._held[:at + 4]
+        self._state = self._first
         self._begin(first, _fields(lines), events)
         return True
 
@@ -117,8 +128,6 @@
         raise NotImplementedError
 
     def _keeps(self, version: str, fields: dict[str, str]) -> bool:
-        if version not in ("HTTP/1.1", "HTTP/1.0"):
-            raise Malformed("version")
         words = {word.strip().lower() for word in fields.get("connection", "").split(",")}
         return "close" not in words and (version == "HTTP/1.1" or "keep-alive" in words)
 
@@ -126,10 +135,10 @@
         coding, length = fields.get("transfer-encoding"), fields.get("content-length")
         self._seen = 0
         if coding is not None:
-            if coding.lower() != "chunked":
-                raise Malformed("transfer coding", 501)
             if length is not None:
                 raise Malformed("length and transfer coding")
+            if coding.lower() != "chunked":
+                raise Malformed("transfer coding", 501)
             self._state = self._size
         elif length is not None or not else_until_end:
             self._left = _number(length) if length is not None else 0
@@ -153,7 +162,7 @@
         self._take(events)
         if self._left:
             return False
-        self._state = self._head
+        self._state = self._first
         events.append(END)
         return bool(self._held)
 
@@ -180,8 +189,11 @@
         line = self._line(MAX_LINE)
         if line is None:
             return False
-        if not line:
-            self._state = self._head
+        if line:
+            _fields([line])
+            self._bound(len(line))
+        else:
+            self._state = self._first
             events.append(END)
         return bool(self._held)
 
@@ -196,11 +208,25 @@
 class Requests(Reader):
     """What a server reads."""
 
+    _blank = False
+
+    def _first(self, events: list) -> bool:
+        if self._held[:2] == b"\r\n" and not self._blank:     # one empty line before a first line may pass
+            del self._held[:2]
+            self._blank = True
+        if not self._held or self._held == b"\r":
+            return False
+        if not REQUEST_BEGINS.match(self._held):
+            raise Malformed("request line")
+        self._state = self._head
+        return True
+
     def _begin(self, first: str, fields: dict[str, str], events: list) -> None:
-        words = first.split(" ")
-        if len(words) != 3 or not words[0] or not TOKEN.issuperset(words[0]) or not words[1]:
+        line = REQUEST_LINE.fullmatch(first)
+        if not line:
             raise Malformed("request line")
-        method, target, version = words
+        method, target, version = line.groups()
+        self._blank = False
         if "host" not in fields and version == "HTTP/1.1":
             raise Malformed("no host")
         events.append(Request(method, target.partition("?")[0], fields, self._keeps(version, fields)))
@@ -210,20 +236,34 @@
 class Responses(Reader):
     """What a client reads."""
 
-    def told(self) -> int:
-        """The status of a first line that has come whole, though the head has not; else 0."""
-        first, newline, _ = self._held.partition(b"\n")
-        words = first.split(b" ", 2)
-        whole = newline and self._state == self._head and words[0] in (b"HTTP/1.1", b"HTTP/1.0")
-        return int(words[1]) if whole and len(words) > 1 and words[1].strip().isdigit() else 0
+    told, _informed = 0, 0              # the status of the last first line that came whole; 1xx so far
+
+    def _first(self, events: list) -> bool:
+        if self._held[:7] != b"HTTP/1."[:len(self._held)]:
+            raise Malformed("status line")
+        at = self._held.find(b"\n", 0, MAX_HEAD)
+        if at < 0:
+            if len(self._held) > MAX_HEAD:
+                raise Malformed("status line", 431)
+            return False
+        line = STATUS_LINE.fullmatch(self._held[:at].decode("latin-1").removesuffix("\r"))
+        if not line:
+            raise Malformed("status line")
+        status = int(line[2])
+        if status >= 200:
+            self.told = status
+        self._state = self._head
+        return True
 
     def _begin(self, first: str, fields: dict[str, str], events: list) -> None:
-        version, _, rest = first.partition(" ")
-        status = _number(rest[:3])
-        if len(rest) > 3 and rest[3] != " " or not 100 <= status <= 599:
+        line = STATUS_LINE.fullmatch(first)
+        if not line:
             raise Malformed("status line")
-        keep = self._keeps(version, fields)
+        status, keep = int(line[2]), self._keeps(line[1], fields)
         if status < 200:                # an answer to come is announced
+            self._informed += 1
+            if self._informed > MAX_INFORMED or status == 101:
+                raise Malformed("only announcements")
             return
         until_end = fields.get("transfer-encoding") is None and fields.get("content-length") is None \
             and status not in (204, 304)
--- a/birchstack/net/notices.py
+++ b/birchstack/net/notices.py
@@ -49,6 +49,12 @@
         if not self._under_way and not self._timer:
             self._send()
 
+    def move(self, where: tuple[str, int]) -> None:
+        """Tells another address from now on; what is under way is told again there."""
+        if where != self._where:
+            self._where = where
+            self._failed()
+
     def _send(self) -> None:
         self._timer = None
         if not self._waiting:
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import logging
 import signal
 import time
@@ -15,7 +16,7 @@
 from birchstack import interface as our
 from birchstack.decide import NEVER_RAN, Sender
 from birchstack.net.calls import Call, Calls
-from birchstack.net.config import Config
+from birchstack.net.config import Config, ConfigError, load
 from birchstack.net.discovery import Watch
 from birchstack.net.front import ABANDONED, CLOSED, REJECTED, TAKEN, Front, Handed
 from birchstack.net.ledger import Ledger
@@ -25,6 +26,8 @@
 LISTEN_S, CALL_S, END_S = 0.8, 2.2, 3.5     # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
 REPORT_S = 60.0
+CLIENTS_SHARE, OTHERS = 40, 64  # of the descriptors, in hundredths; and what is no client and no call
+RELOADED = ("discovery", "known", "seed")   # at a reload: taken over, or only for a start
 REMEMBERED = 4096               # answers kept for ids that come again
 log = logging.getLogger(__name__)
 
@@ -36,11 +39,12 @@
         self._config, self._loop, self._began = config, loop, loop.time()
         self._core = Sender(config.settings, config.seed, self)
         self._ledger = Ledger(config.state, config.disk_bytes)
-        spare = max(64, config.sockets - 128)
-        self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, spare // 3, self._delivered,
+        clients = config.sockets * CLIENTS_SHARE // 100
+        idle = max(8, config.sockets - clients - OTHERS - config.settings.slots)
+        self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, idle, self._delivered,
                             self._ended)
-        types = {kind.name for kind in config.settings.types}
-        self._front = Front(loop, types, spare // 2, self._handed)
+        types = {kind.name: kind.expiry_ms for kind in config.settings.types}
+        self._front = Front(loop, types, clients, self._serves, self._handed)
         self._watch = Watch(loop, config.discovery, config.kinds, self._listed)
         self._notices = Notices(loop, config.discovery, self._acknowledged)
         self._inbox: list[tuple] = []           # the events of this pass
@@ -48,6 +52,7 @@
         self._starting: dict[str, Call] = {}    # calls that leave at the end of this turn
         self._answers: dict[str, tuple[str, float]] = {}    # by id, for those that come again
         self._zones: dict[str, str] = {}
+        self._destinations: dict[int, None] = {}    # those listed, the longest unheard of first
         self._turn_due, self._turned_at = False, 0.0
         self._closing_at: float | None = None
         self.ended = loop.create_future()
@@ -60,6 +65,8 @@
         """Takes up what is owed, then opens the door."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.close)
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])     # one that came before is heard now
         self._watch.start(self._config.known)
         now, wall = self.clock(), time.time() * 1000.0
         self._answers = {doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)}
@@ -92,16 +99,30 @@
             self._turn_due = True
             self._loop.call_soon(self._turn)
 
+    def _serves(self, destination: int) -> bool:
+        """False for a destination that is in no list; as long as there was no list, nobody knows."""
+        return destination in self._destinations or not self._destinations
+
     def _handed(self, handed: Handed) -> None:
         self._happened(self._take_on, handed)
 
     def _listed(self, mode: str, listed: list) -> None:
+        if mode == our.WHOLE:                   # what it leaves out is gone
+            named = {entry.name for entry, _ in listed}
+            for name in [each for each in self._zones if each not in named]:
+                self._calls.gone(name)
+                del self._zones[name]
         for entry, where in listed:
             if entry.state != our.GONE:
                 self._calls.move(entry.name, where)
+                self._zones[entry.name] = entry.zone
+                self._destinations.pop(entry.destination, None)
+                self._destinations[entry.destination] = None
             else:
-                self._calls.close_idle(entry.name)
-            self._zones[entry.name] = entry.zone
+                self._calls.gone(entry.name)
+                self._zones.pop(entry.name, None)
+        while len(self._destinations) > max(REMEMBERED, len(self._zones)):
+            del self._destinations[next(iter(self._destinations))]
         self._happened(self._core.endpoints, mode, [entry for entry, _ in listed])
 
     def _delivered(self, call: Call) -> None:
@@ -209,7 +230,8 @@
         starting, self._starting = self._starting, {}
         for call in starting.values():
             owed = self._ledger.owed.get(call.doc)
-            if not holds(owed and owed.notice is None, "only what is owed is sent"):
+            if not holds(owed and owed.notice is None and call.endpoint in self._calls.addresses,
+                         "only what is owed is sent, and only to what is listed"):
                 self._unsent(call)
                 continue
             call.body = owed.body
@@ -269,7 +291,22 @@
     def log(self, text: str) -> None:
         say(log, text)
 
-    # The end
+    # A new configuration, and the end
+
+    def reload(self) -> None:
+        """SIGHUP: takes over where discovery is now, or nothing; what is held, ids and connections stay."""
+        try:
+            fresh = load(again=True)
+        except ConfigError as problem:
+            say(log, "configuration not taken over", logging.ERROR, problem=problem)
+            return
+        waits = [each.name for each in dataclasses.fields(Config) if each.name not in RELOADED
+                 and getattr(fresh, each.name) != getattr(self._config, each.name)]
+        self._config = dataclasses.replace(self._config, discovery=fresh.discovery)
+        self._watch.move(fresh.discovery)
+        self._notices.move(fresh.discovery)
+        say(log, "configuration taken over", discovery="{}:{}".format(*fresh.discovery),
+            needs_restart=",".join(waits) or "nothing")
 
     def close(self) -> None:
         """SIGTERM: takes no more, answers what comes, finishes what it can, leaves the rest in the ledger."""
