Time-outs are short while slots are scarce and blamed on idle time only if proved

Time-outs after 0.4 to 1.9 s of idle time were learnt as stale connections, so 40 of 100 calls were on new connections for 20 s (1117 connections for 3785 documents) and the time-outs did not count against their endpoints. Ruled out: the repeat bound, the held maximum, CPU (0.4 of 0.85).

At fault in decide.py: LEAST_PATIENCE_MS at any load, OVERDUE_MS of 1 s, Idle.learn fed with every time-out, binding documents sent while an answer there was overdue. Now the least patience shrinks with the moving share of slots taken; a time-out is blamed on idle time only once a call on a new connection there is served.

Also: endpoints that are gone, empty destinations and keys at rest are let go (they were kept for good).

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -1,8 +1,7 @@
 """All decisions of one sender.
 
-Make a Sender(settings, seed, host) and hand it what happens by its public methods (the Events protocol
-of interface.py); end each group of events at one time with turn(now). It acts by calling the host (the
-Host protocol, same file). Times are milliseconds. The design and its exceptions: docs/design.md.
+Make a Sender(settings, seed, host), hand it what happens (the Events protocol of interface.py) and end each
+group of events at one time with turn(now). It acts by the Host. Times are milliseconds. See docs/design.md.
 
 Reading order: Sender._deliver is the ordinary path of a document. Sender._transmit and Sender._finish
 are the only places that send and answer; every rule is guarded there. Sender._fill picks what goes where.
@@ -23,27 +22,25 @@
 REPEAT_SHARE, SPARE_REPEATS = 0.25, 0.25       # most repeats for each first try, and a second besides
 PAUSE_MS, LONGEST_PAUSE_MS = 100.0, 2000.0     # full jitter
 NEVER_RAN = (FULL, CONNECT_FAILED, UNSENT)     # outcomes that prove that the document had no effect
-LEAST_PATIENCE_MS = 2000.0                     # no time-out below this: destinations pause and stall
+LEAST_PATIENCE_MS = 2000.0                     # no time-out below this: destinations pause and stall; but
+LEAST_PART, BUSY_MS = 0.3, 1000.0              # only this part where slots were all taken for such a while
 PATIENCE, HASTY = 8.0, 5.0                     # a time-out is so many usual answer times; while slots are
 SCARCE = 0.75                                  # scarce, that is such a share of them taken: the hasty one
-STREAK = 3                                     # failures in a row that make an endpoint ill
-ILL_SHARE = 0.5                                # or this share of recent calls failing
+STREAK, ILL_SHARE = 3, 0.5                     # failures in a row, or share of recent calls failing: ill
 DOUBT_SHARE = 0.25                             # share of calls in doubt above which binding ones wait
-SICK_PART = 0.5                                # of half the slots, for all sick destinations together
 SLOW = 3.0                                     # answers this many times slower than usual: slow
-OVERDUE_MS, OVERDUE = 1000.0, 4.0              # so is a call out so long, and so many usual answer times
-TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint
-TRIAL_EVERY = 2000.0                           # or the usual time between so many thousandths of a document
+OVERDUE_MS, OVERDUE = 500.0, 4.0               # so is a call out so long, and so many usual answer times
+TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint, or the
+TRIAL_EVERY, SICK_PART = 2000.0, 0.5           # usual time of 2 documents; of half the slots for the sick
 SHARE_CUT, SHARE_STEP = 0.8, 0.3               # the share of a limit: cut, and growth a second, in parts that
 OWN_PART, FEARED_PART = 5.0, 0.4               # are so many times an equal part or this sender's usual rate
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
 ROOM_MS, CUT_EVERY_MS = 1000.0, 300.0          # a report of room is believed so long; cuts are no closer
-LEAST_TOGETHER = 4.0                           # calls a second to a destination, from all senders together
-LEAST_PACE, BURST = 0.5, 0.25                  # calls a second; seconds of the pace that may go at once
+LEAST_TOGETHER, LEAST_PACE = 4.0, 0.5          # calls a second to a destination, of all senders, of one
 SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
-GUESSED_TOP = 4.0                              # a limit not told may be so many times the rate first seen
+GUESSED_TOP, BURST = 4.0, 0.25                 # a limit not told over the first rate; seconds of the pace
 ASK_AGAIN_MS, EARLY_MS = 1000.0, 1.0           # a failed subscription is renewed; an alarm may be early
-CALL_MS = 100.0                                # a call takes this long at least, until one was seen
+CALL_MS, FORGET = 100.0, 64                    # a call takes so long at least; so many empty ones are kept
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
 STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
 CROWDED_MS, KEPT_RATE = 20000.0, 0.4           # none kept idle after a failed connect, or for fewer a second
@@ -75,9 +72,7 @@
 
 
 class Idle:
-    """Learns how long a connection may lie idle before something on the way resets its next call.
-
-    Guards against proxies and others that forget idle connections; hurts by handshakes for a while."""
+    """Learns how long a connection may lie idle before something on the way resets its next call."""
 
     def __init__(self) -> None:
         self._resets = [0.0] * len(IDLE_MS)         # moving share of calls reset, by idle time
@@ -91,8 +86,7 @@
                 self._until[at] = now + STALE_FOR_MS
 
     def stale(self, now: float, idle_ms: float) -> bool:
-        return any(now < until and idle_ms >= bound
-                   for until, bound in zip(self._until, IDLE_MS, strict=True))
+        return any(now < until and idle_ms >= at for until, at in zip(self._until, IDLE_MS, strict=True))
 
 
 class Meter:
@@ -119,24 +113,24 @@
         self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
         self.ok_at, self.back_at = -1.0, None   # when it last served, and answered again after an outage
         self.meter = Meter(now)         # for the ramp after it
-        self.call: Call | None = None   # the call made in this turn, which others may join
+        self.call, self.blamed = None, 0.0  # made in this turn, others may join; idle time before a time-out
 
     def joinable(self, route: Route) -> bool:
         return self.call is not None and self.call.docs < route.per_call
 
-    def slow(self, now: float) -> bool:
-        """True if answers take much longer than usual, or one is overdue; time-outs tell it too late."""
-        if self.recent_ms > SLOW * self.usual_ms:
-            return True
+    def overdue(self, now: float) -> bool:
+        """True if an answer takes much longer than usual; time-outs tell it too late."""
         return bool(self.calls) and now - self.calls[0] > max(OVERDUE_MS, OVERDUE * self.usual_ms)
 
+    def slow(self, now: float) -> bool:
+        return self.recent_ms > SLOW * self.usual_ms or self.overdue(now)
+
 
 class Route:
     """What shares a limit, told waits and outages: a destination, or one endpoint where routes are apart.
 
-    The pace keeps a sender under a limit that it shares with others: its share of the limit is cut when the
-    room told is little or a call is refused, and grows back with time; little room slows it at once.
-    """
+    The pace keeps a sender under a limit shared with others: its share is cut when little room is told or a
+    call is refused, and grows back with time; little room slows it at once."""
 
     def __init__(self, per_call: int, limit: float, now: float) -> None:
         self.endpoints: list[Endpoint] = []
@@ -173,15 +167,18 @@
         self.number, self.taken, self.failed, self.since = number, 0, 0, now
         self.routes: list[Route] = []
         self.line: list[Document] = []
-        self.tokens = TOKENS
         self.half, self.top = max(1, slots // 2), max(1, slots * 3 // 4)
-        self.window = float(self.half)
+        self.window, self.tokens = float(self.half), TOKENS
         self.out = self.turn = 0        # calls out; for taking endpoints in turn
 
     def rate(self, now: float) -> float:
         # documents a second; the sum over all senders is what the destination usually gets
         return max(self.least, self.taken * 1000.0 / max(now - self.since, BUCKETS * BUCKET_MS))
 
+    def used(self, now: float) -> bool:
+        return bool(self.line) or self.out > 0 or any(route.endpoints or now < route.wait_until
+                                                      for route in self.routes)
+
     def troubled(self, now: float) -> bool:
         return any(ep.state == READY and (ep.ill or ep.slow(now))
                    for route in self.routes for ep in route.endpoints)
@@ -191,8 +188,7 @@
     """A call that is out, with one document or several that share its slot and its fate."""
 
     def __init__(self, route: Route, ep: Endpoint, now: float, idle_ms: float) -> None:
-        self.route, self.ep, self.sent_at, self.idle_ms = route, ep, now, idle_ms
-        self.trial = ep.ill
+        self.route, self.ep, self.sent_at, self.idle_ms, self.trial = route, ep, now, idle_ms, ep.ill
         self.docs, self.heard = 0, False    # documents without an outcome; whether one had its outcome
 
 
@@ -202,9 +198,8 @@
         self.id, self.kind, self.destination, self.order = doc_id, kind, destination, order
         self.expiry = now + left_ms
         self.taken = self.expiry - kind.expiry_ms   # when the client first handed it in
-        self.ready_at = now             # end of its pause
+        self.ready_at, self.out = now, None     # end of its pause; the call that it is out with
         self.sent, self.repeats = past.sent, 0  # transmissions, and those that the bucket paid for
-        self.out: Call | None = None
         self.doubt = [*past.doubt]      # transmissions that may have run: time and zone
         self.over, self.keyline, self.path = False, None, None
 
@@ -219,10 +214,13 @@
         self.docs: deque[Document] = deque()
         self.rest_until, self.rested_by = 0.0, None
 
-    def allows(self, doc: Document, now: float) -> bool:
+    def used(self, now: float) -> bool:
         while self.docs and self.docs[0].over and self.docs[0].out is None:
             self.docs.popleft()
-        return self.docs[0] is doc and (now >= self.rest_until or self.rested_by is doc)
+        return bool(self.docs) or now < self.rest_until
+
+    def allows(self, doc: Document, now: float) -> bool:
+        return self.used(now) and self.docs[0] is doc and (now >= self.rest_until or self.rested_by is doc)
 
 
 class Sender:
@@ -233,13 +231,12 @@
         self._types, self._draw = {kind.name: kind for kind in settings.types}, random.Random(seed).uniform
         self._destinations: dict[int, Destination] = {}
         self._endpoints: dict[str, tuple[Route, Endpoint]] = {}
-        self._held: dict[str, Document] = {}
-        self._flying, self._keys = {}, {}           # ended, with a transmission still out; lines of keys
+        self._held, self._flying, self._keys = {}, {}, {}   # and ended while a transmission is out; by key
         self._ends: list[tuple[float, int, Document]] = []
-        self._order, self._out, self._alarm = 0, 0, float("inf")
+        self._order, self._out, self._alarm, self._idle, self._crowded_until = 0, 0, float("inf"), Idle(), 0.0
         self._firsts, self._repeats, self._repeats_held = Ring(0.0), Ring(0.0), False
-        self._idle, self._crowded_until = Idle(), 0.0
         self._dialled, self._lying = [], {}         # endpoints called in this turn, with idle connections
+        self._busy = self._level = self._turned = 0.0   # moving share of the slots taken; the last, its time
         self._ask_at = 0.0 if settings.list_on_request else float("inf")
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
@@ -254,18 +251,24 @@
             if entry.name not in self._endpoints:
                 self._join(now, entry)
             self._endpoints[entry.name][1].state = entry.state
+        for name in [name for name, (_, ep) in self._endpoints.items() if ep.state == our.GONE]:
+            route, ep = self._endpoints.pop(name)
+            route.endpoints.remove(ep)
+        if len(self._destinations) > len(self._endpoints) + FORGET:
+            self._destinations = {each: dest for each, dest in self._destinations.items() if dest.used(now)}
 
     def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
                  key: str | None, past: our.Past = our.NO_PAST) -> None:
         self._order += 1
-        dest = self._destinations.setdefault(destination, Destination(destination, self._set, now))
-        dest.taken += 1
-        dest.failed += past.failed
+        dest = self._destination(destination, now)
+        dest.taken, dest.failed = dest.taken + 1, dest.failed + past.failed
         if past.failed and dest.failed >= STREAK:   # down before a restart: one call at first
             for ep in [each for route in dest.routes for each in route.endpoints]:
                 ep.ill = True
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
         if key is not None and doc.kind.in_order:
+            if len(self._keys) > len(self._held) + FORGET:
+                self._keys = {each: line for each, line in self._keys.items() if line.used(now)}
             doc.keyline = self._keys.setdefault(key, Keyline())
             doc.keyline.docs.append(doc)
             if doc.doubt:               # what was out when its sender ended may still run
@@ -298,13 +301,18 @@
         elif not doc.over:
             self._resume(now, doc, outcome)
 
+    def _destination(self, number: int, now: float) -> Destination:
+        if number not in self._destinations:
+            self._destinations[number] = Destination(number, self._set, now)
+        return self._destinations[number]
+
     def withdrawn(self, now: float, doc_id: str) -> None:
-        """The client gave the document up."""
         if doc_id in self._held:
             self._end(self._held[doc_id])
 
     def turn(self, now: float) -> None:
         """Ends the events of one time: gives up what is out of reach, then fills the places that are free."""
+        self._busy += (self._level - self._busy) * min(1.0, (now - self._turned) / BUSY_MS)
         self._alarm = self._alarm if now < self._alarm - EARLY_MS else float("inf")
         while self._ends and (self._ends[0][2].over or self._ends[0][0] <= now):
             doc = heapq.heappop(self._ends)[2]
@@ -317,15 +325,16 @@
         self._wake(now, self._ask_at)
         self._make_room(now)
         self._fill(now)
-        # connections are limited and idle ones count: kept by many senders they shut all others out
-        least = float("inf") if now < self._crowded_until else KEPT_RATE
-        for name in [name for name, (dest, _) in self._lying.items() if dest.rate(now) < least]:
+        least = float("inf") if now < self._crowded_until else KEPT_RATE    # kept by many, they shut others
+        for name in [name for name, (dest, ep) in self._lying.items()       # out
+                     if dest.rate(now) < least or ep.state == our.GONE]:
             ep = self._lying.pop(name)[1]
             if ep.idle:
                 self._host.close_idle(name)
                 ep.idle.clear()
         if self._ends:
             self._wake(now, self._ends[0][0])
+        self._level, self._turned = self._out / self._set.slots, now
 
     # The ordinary path
 
@@ -361,9 +370,8 @@
 
     def _barred(self, now: float, doc: Document, route: Route, ep: Endpoint) -> bool:
         """True if a rule forbids this transmission."""
-        if doc.over or doc.out or now >= doc.expiry or ep.state != READY or now < route.wait_until:
-            return True
-        if doc.keyline and not doc.keyline.allows(doc, now) or doc.lost():
+        if doc.over or doc.out or now >= doc.expiry or ep.state != READY or now < route.wait_until \
+                or doc.lost() or doc.keyline and not doc.keyline.allows(doc, now):
             return True
         if doc.doubt and doc.kind.effect == NUMBERED:
             since, zone = doc.doubt[0]
@@ -380,7 +388,7 @@
             self._dialled.append(ep)
         ep.call.docs += 1
         doc.out, doc.sent = ep.call, doc.sent + 1
-        self._host.transmit(doc.id, ep.name, min(self._patience(ep, doc), doc.expiry - now))
+        self._host.transmit(doc.id, ep.name, min(self._patience(route, ep, doc), doc.expiry - now))
 
     def _dial(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> Call:
         idle_ms = 0.0
@@ -389,8 +397,7 @@
                 self._host.close_idle(ep.name)
                 ep.idle.clear()
             idle_ms = now - ep.idle.pop() if ep.idle else 0.0
-        self._out += 1
-        dest.out += 1
+        self._out, dest.out = self._out + 1, dest.out + 1
         ep.calls.append(now)
         route.trials_out += ep.ill
         for meter in (route.meter, ep.meter):
@@ -399,12 +406,16 @@
 
     def _hang_up(self, now: float, dest: Destination, call: Call, kind: str, kept: bool) -> None:
         """Gives slot, place and connection back."""
-        self._out -= 1
-        dest.out -= 1
+        self._out, dest.out = self._out - 1, dest.out - 1
         call.ep.calls.remove(call.sent_at)
         call.route.trials_out -= call.trial
-        if kind != CONNECT_FAILED:
-            self._idle.learn(now, call.idle_ms, kind == our.RESET or kind == our.TIMEOUT and not call.trial)
+        if kind == our.TIMEOUT:         # the endpoint or the connection? the next new connection tells
+            call.ep.blamed = 0.0 if call.trial else call.idle_ms
+        elif kind != CONNECT_FAILED:
+            self._idle.learn(now, call.idle_ms, kind == our.RESET)
+            if kind == OK and not call.idle_ms:
+                self._idle.learn(now, call.ep.blamed, True)
+                call.ep.blamed = 0.0
         kept = kept and kind in (OK, our.ERROR, FULL)
         if kept and len(call.ep.calls) % self._set.calls_per_connection == 0:
             call.ep.idle.append(now)
@@ -419,7 +430,7 @@
         self._end(doc)
 
     def _end(self, doc: Document) -> None:
-        doc.over = True
+        doc.over, doc.path = True, None
         del self._held[doc.id]
         if doc.out:
             self._flying[doc.id] = doc
@@ -433,9 +444,8 @@
         if self._out >= self._set.slots:            # an outcome brings the next turn
             return
         best: dict[int, tuple] = {}
-        # many buckets that start full could together repeat more than the bound that the design claims
         most = self._firsts.rate(now) * REPEAT_SHARE + SPARE_REPEATS
-        self._repeats_held = self._repeats.rate(now) > most
+        self._repeats_held = self._repeats.rate(now) > most     # the design's bound, for many full buckets
         if self._repeats_held:
             self._wake(now, now + BUCKET_MS)
         for dest in self._destinations.values():
@@ -459,20 +469,19 @@
             return
         found = None
         for doc in dest.line:
+            if doc.keyline and doc.keyline.rest_until > now:
+                self._wake(now, doc.keyline.rest_until)
             if doc.ready_at > now:
                 self._wake(now, doc.ready_at)
                 continue
-            if doc.keyline and doc.keyline.rest_until > now:
-                self._wake(now, doc.keyline.rest_until)
             if doc.repeats and (dest.tokens < 1.0 or self._repeats_held):
                 continue
             rank = self._value(now, doc)
             if found and rank <= found[0]:
                 continue
             for route, ep in places:
-                # a hasty try in doubtful times may lose a binding document for good: let others try first
-                if not (doc.kind.effect == BINDING and ep.doubtful > DOUBT_SHARE) \
-                        and not self._barred(now, doc, route, ep):
+                doubtful = ep.doubtful > DOUBT_SHARE or ep.overdue(now)     # it may be lost for good
+                if not (doubtful and doc.kind.effect == BINDING) and not self._barred(now, doc, route, ep):
                     found = rank, doc, route, ep
                     break
         if found:
@@ -507,11 +516,8 @@
         return trials + [place[2:] for place in sorted(places, key=lambda place: place[:2])]
 
     def _ramped(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> bool:
-        """An endpoint that came back is cold: it gets what this sender usually has for it, or its part of a
-        known limit, times its share of warmth; the first call by chance: many come back at once."""
-        if ep.back_at is None:
-            return True
-        warm = (now - ep.back_at) / self._set.warm_up_ms
+        """One that came back is cold: the usual, or its part of the limit, times its share of warmth."""
+        warm = 1.0 if ep.back_at is None else (now - ep.back_at) / self._set.warm_up_ms
         if warm >= 1.0:
             ep.back_at = None
             return True
@@ -524,7 +530,7 @@
         return wait_ms <= 0.0
 
     def _make_room(self, now: float) -> None:
-        """Held documents are finite: the longest line, a sick one first, gives up its least worthy."""
+        """The longest line, a sick one first, gives up its least worthy."""
         while len(self._held) >= self._set.max_held:
             lines = [(each.troubled(now), len(each.line), -number) for number, each in
                      self._destinations.items() if any(not doc.doubt for doc in each.line)]
@@ -567,7 +573,6 @@
         ep.streak += 1
         ep.failing += 0.2 * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
-        # a sender with few documents sees few failures: each tells more; quick ones come three in a row
         enough = STREAK if quick else max(1, min(STREAK, int(dest.rate(now) * STREAK)))
         enough = 1 if any(other.ill for other in route.endpoints) else enough
         if ep.ill:
@@ -584,10 +589,9 @@
         self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
 
     def _await_trial(self, now: float, dest: Destination, route: Route, ms: float) -> None:
-        # many senders with few documents each together try no more often than their usual traffic
-        route.trial_ms, rare_ms = min(LONGEST_TRIAL_MS, ms), TRIAL_EVERY / dest.rate(now)
-        pause = rare_ms if rare_ms > LONGEST_TRIAL_MS else route.trial_ms
-        route.trial_at = now + pause * self._draw(0.3, 1.7)
+        route.trial_ms = ms = min(LONGEST_TRIAL_MS, ms)
+        rare_ms = TRIAL_EVERY / dest.rate(now)      # many senders together try no more often than they send
+        route.trial_at = now + (rare_ms if rare_ms > LONGEST_TRIAL_MS else ms) * self._draw(0.3, 1.7)
 
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
@@ -602,12 +606,12 @@
                 ep.ill, ep.back_at, ep.meter = False, now, Meter(now, self._draw(0.0, 1.0))
                 self._host.log(f"destination {dest.number}: endpoint back, {dest.rate(now):.2f} documents/s")
 
-    def _patience(self, ep: Endpoint, doc: Document) -> float:
-        """Time-outs follow observed answer times; nothing seen yet: the agreed time."""
+    def _patience(self, route: Route, ep: Endpoint, doc: Document) -> float:
         seen = max(ep.usual_ms, ep.recent_ms)
         scarce = self._out >= self._set.slots * SCARCE
-        patience = (HASTY if scarce else PATIENCE) * seen if seen else doc.kind.agreed_ms
-        patience = max(LEAST_PATIENCE_MS, patience)
+        patience = (HASTY if scarce else PATIENCE) * seen if seen else doc.kind.agreed_ms   # none seen yet
+        least = LEAST_PATIENCE_MS * max(LEAST_PART, 1.0 - self._busy)
+        patience = max(least, patience, route.trial_ms / 2.0 if ep.ill else 0.0)
         return patience * (1.5 if scarce else 2.0) if doc.kind.effect == BINDING else patience
 
     def _value(self, now: float, doc: Document) -> float:
@@ -626,8 +630,7 @@
         return end
 
     def _join(self, now: float, entry: our.Endpoint) -> None:
-        number = entry.destination
-        dest = self._destinations.setdefault(number, Destination(number, self._set, now))
+        dest = self._destination(entry.destination, now)
         if not dest.routes or self._set.routes_apart[entry.kind]:
             rate = entry.rate if self._set.rates_listed else 0.0
             dest.routes.append(Route(self._set.per_call[entry.kind], rate, now))
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -30,13 +30,14 @@
                      halving=False, rates_listed=False, list_on_request=False,
                      retry_after_ms=3000.0, cold_share=0.3, warm_up_ms=10000.0, key_rest_ms=1000.0)
         self.now, self.calls, self.said, self.alarms, self.logs, self.closed = 0.0, [], [], [], [], []
-        self.number, self.ended, self.outcomes = {}, set(), []
+        self.number, self.ended, self.outcomes, self.patience = {}, set(), [], []
         self.sender = Sender(our.Settings(**{**words, **settings}), 7, self)
         self.listed(endpoints)
 
     def transmit(self, doc_id, endpoint, patience_ms):
         self.number[doc_id] = self.number.get(doc_id, -1) + 1
         self.calls.append((doc_id, endpoint))
+        self.patience.append(patience_ms)
 
     def reject(self, doc_id, retry_after_ms):
         self.said.append((doc_id, "rejected"))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -216,3 +216,76 @@
     story = Story()
     story.back(["d1", "d2", "d3", "d4"], sent=failed, failed=failed)
     assert len(story.calls) == out
+
+
+def test_time_outs_of_a_silent_endpoint_are_not_blamed_on_idle_connections():
+    story = Story()
+    for name in "ds":                           # four at a time, first served, then silent after idle time
+        docs = [f"{name}{number}" for number in range(4)]
+        for doc in docs:
+            story.take(doc)
+        for doc in docs:
+            story.ends(doc, our.OK if name == "d" else our.TIMEOUT, 50.0)
+        story.at(story.now + 1500.0)
+    assert not story.closed and "ill" in story.logs[0]
+
+
+@pytest.mark.parametrize("busy, least, most", [(False, 1500.0, 2000.0), (True, 600.0, 900.0)])
+def test_time_outs_are_short_only_where_the_slots_were_taken_for_a_while(busy, least, most):
+    story = Story(slots=4)
+    story.listed("xyz", mode=our.CHANGES, destination=2)
+    for number in range(30):
+        story.take(f"d{number}")
+        if busy:
+            for more in range(3):
+                story.take(f"d{number}-{more}", destination=2)
+        story.at(story.now + 90.0)
+        for doc, _ in story.calls[-4:]:
+            if doc not in story.ended:
+                story.ends(doc, our.OK, 1.0)
+    story.patience.clear()
+    story.take("last")
+    assert least <= story.patience[-1] <= most
+
+
+def test_a_binding_document_waits_while_an_answer_is_overdue():
+    story = Story()
+    story.take("d1")
+    story.at(600.0)
+    story.take("pay", "pay")
+    assert not story.tries("pay")
+    story.ends("d1", our.OK)
+    assert story.tries("pay")
+
+
+@pytest.mark.parametrize("mode", [our.CHANGES, our.WHOLE])
+def test_endpoints_destinations_and_keys_that_went_leave_nothing_behind(mode):
+    story = Story(slots=4)
+    for number in range(300):
+        name, destination = f"e{number}", 10 + number
+        story.listed([name, "a"] if mode == our.WHOLE else [name], mode, destination=destination)
+        story.take(f"d{number}", "turn", destination, key=f"k{number}")
+        story.ends(f"d{number}", our.OK, 50.0)
+        if mode == our.CHANGES:
+            story.listed([name], mode, our.GONE, destination)
+    sender = story.sender
+    assert story.ended == {f"d{number}" for number in range(300)}
+    assert max(len(each) for each in (sender._endpoints, sender._destinations, sender._keys, sender._lying,
+                                      sender._held, sender._flying, sender._ends)) < 100
+
+
+def test_a_new_endpoint_in_the_place_of_one_that_went_is_met_as_new():
+    story = Story()
+    story.take("d1")
+    story.listed(["a"], our.CHANGES, our.GONE)
+    story.listed(["b"], our.CHANGES)
+    story.ends("d1", our.TIMEOUT, 2000.0)
+    story.at(3000.0)
+    assert story.calls[-1] == ("d1", "b") and story.tries("d1") == 2
+
+
+def test_a_connection_that_was_closed_is_not_counted_on_as_idle():
+    story = Story()
+    story.take("d1")
+    story.ends("d1", our.OK, 50.0, kept=False)
+    assert not story.sender._endpoints["a"][1].idle and not story.sender._lying
