Calls that break off at once need five in a row to be an outage; idle ones are kept

First guess, wrong: time-outs and broken writes. Errors, resets and denied dials within 0.3 s now need two more, and count half in the share.

Also: one alarm in place of many; a load report counts only if wholly readable; room on disk is reckoned by what a record takes; closing senders send for 2.9 s; a cold destination gets 1.2 times this sender's part of its limit.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -26,7 +26,7 @@
 LEAST_PART, BUSY_MS = 0.3, 1000.0              # only this part where slots were all taken for such a while
 PATIENCE, HASTY = 8.0, 5.0                     # a time-out is so many usual answer times; while slots are
 SCARCE = 0.75                                  # scarce, that is such a share of them taken: the hasty one
-STREAK, ILL_SHARE = 3, 0.5                     # failures in a row, or share of recent calls failing: ill
+STREAK, BRIEF, ILL_SHARE = 3, 2, 0.5           # failures in a row, more if brief, or share of calls: ill
 DOUBT_SHARE = 0.25                             # share of calls in doubt above which binding ones wait
 SLOW = 3.0                                     # answers this many times slower than usual: slow
 OVERDUE_MS, OVERDUE = 500.0, 4.0               # so is a call out so long, and so many usual answer times
@@ -43,8 +43,8 @@
 CALL_MS, FORGET = 100.0, 64                    # a call takes so long at least; so many empty ones are kept
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
 STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
-CROWDED_MS, KEPT_RATE = 20000.0, 0.4           # none kept idle after a failed connect, or for fewer a second
-BUCKET_MS, BUCKETS = 1000.0, 8                 # the ring in which served calls are counted
+CROWDED_MS, KEPT_RATE, DENIED = 20000.0, 0.4, 0.25  # none kept idle for fewer a second, or after such a share
+BUCKET_MS, BUCKETS, RAMP = 1000.0, 8, 1.2      # of dials denied; served calls; a cold one gets
 
 
 class Ring:
@@ -236,7 +236,7 @@
         self._order, self._out, self._alarm, self._idle, self._crowded_until = 0, 0, float("inf"), Idle(), 0.0
         self._firsts, self._repeats, self._repeats_held = Ring(0.0), Ring(0.0), False
         self._dialled, self._lying = [], {}         # endpoints called in this turn, with idle connections
-        self._busy = self._level = self._turned = 0.0   # moving share of the slots taken; the last, its time
+        self._denied = self._busy = self._level = self._turned = 0.0    # shares of dials denied, slots taken
         self._ask_at = 0.0 if settings.list_on_request else float("inf")
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
@@ -523,7 +523,7 @@
             return True
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
         ready = sum(each.state == READY for each in route.endpoints)
-        rate = max(dest.rate(now), route.limit / self._set.senders) / ready * share
+        rate = max(dest.rate(now), route.limit * RAMP / self._set.senders) / ready * share
         wait_ms = ep.meter.wait_ms(now, rate, 1.0)
         if wait_ms > 0.0:
             self._wake(now, now + wait_ms)
@@ -556,25 +556,26 @@
             route.cut(now, own, 0.5 / self._set.senders)
         elif kind == OK:
             route.grow(now, own, 1.0 if outcome.limit else GUESSED_TOP)
+        quick = kind == CONNECT_FAILED and outcome.elapsed_ms < TRIAL_MS
+        self._denied += 0.0 if call.idle_ms else 0.05 * (quick - self._denied)
         if kind == OK:
             self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
         dest.window = max(1.0, dest.window / 2.0)
         if kind in (our.RESET, our.TIMEOUT) and self._idle.stale(now, call.idle_ms):
             return                                  # lost with the connection: tells nothing of the endpoint
-        quick = kind == CONNECT_FAILED and outcome.elapsed_ms < TRIAL_MS
         if kind == CONNECT_FAILED:                  # a full table denies at once, a silent machine late
-            self._crowded_until = now + CROWDED_MS if quick else self._crowded_until
+            self._crowded_until = now + CROWDED_MS if quick and self._denied > DENIED else self._crowded_until
             if ep.calls and ep.ok_at >= call.sent_at:   # others were served: its connections are taken
                 return
         if kind == FULL:
             route.meter.credit = self._draw(0.0, 0.9) if rare else 0.0   # the next call a full step later
-        ep.failed_at = ep.failed_at if ep.streak else now
-        ep.streak += 1
-        ep.failing += 0.2 * (1.0 - ep.failing)
+        ep.failed_at, ep.streak = ep.failed_at if ep.streak else now, ep.streak + 1
+        brief = BRIEF * (outcome.elapsed_ms < TRIAL_MS and kind in (our.ERROR, our.RESET, CONNECT_FAILED))
+        ep.failing += (0.1 if brief else 0.2) * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
         enough = STREAK if quick else max(1, min(STREAK, int(dest.rate(now) * STREAK)))
-        enough = 1 if any(other.ill for other in route.endpoints) else enough
+        enough = brief + (1 if any(other.ill for other in route.endpoints) else enough)
         if ep.ill:
             self._await_trial(now, dest, route, route.trial_ms * 2.0)
         elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE) or outcome.wait_ms > \
@@ -596,8 +597,7 @@
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
-        ep.streak, ep.ok_at = 0, now
-        ep.failing, ep.doubtful = ep.failing * 0.8, ep.doubtful * 0.8
+        ep.streak, ep.ok_at, ep.failing, ep.doubtful = 0, now, ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
         if ep.ill:
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -17,7 +17,7 @@
 from birchstack.net.log import say
 
 BLOCK = 512
-LINE = 768                      # room kept for what is still to be written of one document
+LINE = 512                      # room kept for what is still to be written of one document
 GROWN = 131072                  # the file is written anew when it is so long and mostly past
 log = logging.getLogger(__name__)
 
@@ -64,7 +64,7 @@
         """True if bodies of these sizes can be taken on."""
         lines = LINE * (len(self.owed) + len(sizes))
         bodies = self._bodies + sum(map(blocks, sizes))
-        return bodies + 2 * blocks(2 * lines) + GROWN <= self._limit
+        return bodies + blocks(2 * lines) + blocks(lines) + GROWN <= self._limit    # old file and new one
 
     def take(self, doc_id: str, kind: str, destination: int, key: str | None, expiry: float,
              body: bytes) -> Owed:
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -23,7 +23,7 @@
 from birchstack.net.log import broken, holds, say
 from birchstack.net.notices import Notices
 
-LISTEN_S, CALL_S, END_S = 0.8, 2.2, 3.5     # after SIGTERM: new clients, new calls, answers to calls
+LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5     # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
 REPORT_S = 60.0
 CLIENTS_SHARE, OTHERS = 40, 64  # of the descriptors, in hundredths; and what is no client and no call
@@ -54,6 +54,7 @@
         self._zones: dict[str, str] = {}
         self._destinations: dict[int, None] = {}    # those listed, the longest unheard of first
         self._turn_due, self._turned_at = False, 0.0
+        self._alarm: asyncio.TimerHandle | None = None
         self._closing_at: float | None = None
         self.ended = loop.create_future()
 
@@ -283,7 +284,14 @@
         self._calls.close_idle(endpoint)
 
     def wake(self, after_ms: float) -> None:
-        self._loop.call_later(after_ms / 1000.0, self._soon)
+        """The decisions ask for their next alarm only; one that was set for later is no longer wanted."""
+        now = self._loop.time()
+        when = now + after_ms / 1000.0
+        if self._alarm and now < self._alarm.when() <= when:
+            return
+        if self._alarm:
+            self._alarm.cancel()
+        self._alarm = self._loop.call_at(when, self._soon)
 
     def subscribe(self) -> None:
         """The watch is always kept, and asked for again by itself."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 import pytest
 from fake import config
 
+from birchstack import interface as our
 from birchstack.net import sender as module
 from birchstack.net.config import decode
 from birchstack.net.front import CLOSED, TAKEN
@@ -91,3 +92,47 @@
         assert handed.said == [(CLOSED, 3000.0)] and not node._core._held and not len(node._calls)
         assert node._core._out == 0
     node.run(story)
+
+
+def listed(name, state, port, destination=1):
+    return our.Endpoint(name, destination, "a", 0, state, 0.0), ("127.0.0.1", port)
+
+
+@pytest.mark.parametrize("mode", [our.CHANGES, our.WHOLE])
+def test_what_was_listed_and_went_leaves_nothing_behind(node, mode):
+    async def story():
+        for number in range(6000):
+            if mode == our.CHANGES and number:
+                node._listed(mode, [listed(f"e{number - 1}", our.GONE, 9, number - 1)])
+            node._listed(mode, [listed(f"e{number}", our.READY, 9, number)])
+            node._turn()
+        assert [*node._calls.addresses] == [*node._zones] == [*node._core._endpoints] == ["e5999"]
+        assert len(node._destinations) <= 4096 and len(node._core._destinations) < 100
+        assert node._serves(5999) and not node._serves(70000)
+    node.run(story)
+
+
+def test_answers_remembered_are_bounded_and_nothing_else_is_kept_of_documents_that_ended(node):
+    async def story():
+        for number in range(5000):
+            handed = Handed(f"d{number}", left_ms=40.0 if number % 2 else 20000.0)
+            node._inbox.append((node._take_on, handed))
+            node._turn()
+            node._happened(node._core.withdrawn, handed.id)
+            if handed.id in node._ledger.owed:
+                node._ledger.done(node._ledger.owed[handed.id])
+        node._turn()
+        assert len(node._answers) <= 4096 and not node._ledger.owed and not node._core._held
+        assert len(node._core._ends) < 5000 and not node._fresh and not node._starting
+    node.run(story)
+
+
+def test_an_alarm_that_is_asked_for_again_and_again_is_one_alarm(node):
+    async def story():
+        turns = []
+        node._turn = lambda: turns.append(setattr(node, "_turn_due", False))
+        for after_ms in (90.0, 60.0, 30.0, 60.0, 90.0):
+            node.wake(after_ms)
+        await asyncio.sleep(0.15)
+        assert len(turns) == 1
+    node.run(story)
