An answer is overdue only where nothing else was served meanwhile

Ruled out: limits (few refused), the release of servers, idle connections.

At fault in decide.py: Endpoint.overdue looked at the oldest call alone. Now nothing must have been served since.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -119,8 +119,9 @@
         return self.call is not None and self.call.docs < route.per_call
 
     def overdue(self, now: float) -> bool:
-        """True if an answer takes much longer than usual; time-outs tell it too late."""
-        return bool(self.calls) and now - self.calls[0] > max(OVERDUE_MS, OVERDUE * self.usual_ms)
+        """True if nothing is served and an answer is late; time-outs tell it too late."""
+        since = max(self.ok_at, self.calls[0]) if self.calls else now
+        return now - since > max(OVERDUE_MS, OVERDUE * self.usual_ms)
 
     def slow(self, now: float) -> bool:
         return self.recent_ms > SLOW * self.usual_ms or self.overdue(now)
@@ -530,7 +531,6 @@
         return wait_ms <= 0.0
 
     def _make_room(self, now: float) -> None:
-        """The longest line, a sick one first, gives up its least worthy."""
         while len(self._held) >= self._set.max_held:
             lines = [(each.troubled(now), len(each.line), -number) for number, each in
                      self._destinations.items() if any(not doc.doubt for doc in each.line)]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -273,6 +273,16 @@
     assert story.tries("pay")
 
 
+def test_a_lost_answer_holds_nothing_up_where_others_are_served():
+    story = Story()
+    story.take("lost")
+    for number in range(12):
+        story.take(f"d{number}")
+        story.ends(f"d{number}", our.OK, 100.0)
+    story.take("pay", "pay")
+    assert story.tries("pay") and story.tries("lost") == 1
+
+
 @pytest.mark.parametrize("mode", [our.CHANGES, our.WHOLE])
 def test_endpoints_destinations_and_keys_that_went_leave_nothing_behind(mode):
     story = Story(slots=4)
