After a restart a destination is ill only if three in a hundred held there had failed

Destinations that were down held 33 to 98 documents with 4 to 10 failures (5 to 30 in a hundred).

At fault: decide.py document(), which counted failures alone. Now they are weighed at the first turn, against what is held.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -26,8 +26,8 @@
 LEAST_PART, BUSY_MS = 0.3, 1000.0              # only this part where slots were all taken for such a while
 PATIENCE, HASTY = 8.0, 5.0                     # a time-out is so many usual answer times; while slots are
 SCARCE = 0.75                                  # scarce, that is such a share of them taken: the hasty one
-STREAK, BRIEF, ILL_SHARE = 3, 2, 0.5           # failures in a row, more if brief, or share of calls: ill
-DOUBT_SHARE = 0.25                             # share of calls in doubt above which binding ones wait
+STREAK, BRIEF, ILL_SHARE = 3, 2, 0.5           # failures in a row, more if brief, or share of calls: ill;
+DOUBT_SHARE, FAILED_PART = 0.25, 0.03          # in doubt: binding ones wait; so many failed before a restart
 SLOW = 3.0                                     # answers this many times slower than usual: slow
 OVERDUE_MS, OVERDUE = 500.0, 4.0               # so is a call out so long, and so many usual answer times
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint, or the
@@ -263,9 +263,6 @@
         self._order += 1
         dest = self._destination(destination, now)
         dest.taken, dest.failed = dest.taken + 1, dest.failed + past.failed
-        if past.failed and dest.failed >= STREAK:   # down before a restart: one call at first
-            for ep in [each for route in dest.routes for each in route.endpoints]:
-                ep.ill = True
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
         if key is not None and doc.kind.in_order:
             if len(self._keys) > len(self._held) + FORGET:
@@ -313,6 +310,10 @@
 
     def turn(self, now: float) -> None:
         """Ends the events of one time: gives up what is out of reach, then fills the places that are free."""
+        for dest in [each for each in self._destinations.values() if each.failed]:     # before a restart
+            for ep in [each for route in dest.routes for each in route.endpoints]:
+                ep.ill = dest.failed >= max(STREAK, FAILED_PART * dest.taken)   # down: one call first
+            dest.failed = 0
         self._busy += (self._level - self._busy) * min(1.0, (now - self._turned) / BUSY_MS)
         self._alarm = self._alarm if now < self._alarm - EARLY_MS else float("inf")
         while self._ends and (self._ends[0][2].over or self._ends[0][0] <= now):
@@ -615,8 +616,7 @@
         return patience * (1.5 if scarce else 2.0) if doc.kind.effect == BINDING else patience
 
     def _value(self, now: float, doc: Document) -> float:
-        kind = doc.kind
-        late = max(0.0, now - doc.taken - kind.agreed_ms)
+        kind, late = doc.kind, max(0.0, now - doc.taken - doc.kind.agreed_ms)
         if self._set.halving:
             return kind.value * max(kind.late_share, 0.5 ** (late / kind.agreed_ms))
         span = max(kind.expiry_ms - kind.agreed_ms, 1.0)
--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -18,25 +19,20 @@
 
 PATH = "/hook"
 KEPT = (our.OK, our.ERROR, our.FULL)    # after these a connection may lie idle for the next call
+DECIMAL = r"[0-9]{1,9}(?:\.[0-9]{0,18})?"
+REPORT = re.compile(rf"(?:TEXT )?x0=({DECIMAL}), ?x1=({DECIMAL})")
 REST_MS = 500.0                         # an answer that has begun is whole after so long, or it is spoilt
 EARLIER = 0.9                           # an idle connection is closed at this part of the endpoint's own time
 log = logging.getLogger(__name__)
 
 
-def _decimal(text: str | None) -> float | None:
-    try:
-        value = float(text or "")
-    except ValueError:
-        return None
-    return value if 0.0 <= value < 1e12 else None       # leaves out nan as well
-
-
 def kind_of(answer: http1.Response) -> tuple[str, bool, float]:
     """Outcome of an answer: its kind, whether the document is over by it, and the wait told."""
     if answer.status == 200:
         return our.OK, True, 0.0
     if answer.status == 429:
-        return our.FULL, False, _decimal(answer.fields.get("x-come-back-ms")) or 0.0
+        wait = answer.fields.get("x-come-back-ms", "")
+        return our.FULL, False, float(wait) if re.fullmatch(DECIMAL, wait) else 0.0
     if answer.status == 503:
         busy = answer.fields.get("x-line-busy", "").strip() == "1"
         return our.UNSENT if busy else our.FULL, False, 0.0
@@ -46,12 +42,9 @@
 
 
 def report_of(answer: http1.Response) -> tuple[float | None, float | None]:
-    """The room left and the limit that an answer tells."""
-    told = {}
-    for word in answer.fields.get("server-load", "").removeprefix("TEXT").split(","):
-        name, _, value = word.partition("=")
-        told[name.strip()] = _decimal(value.strip())
-    return told.get("x0"), told.get("x1")
+    """The room left and the limit that an answer tells; what is not wholly readable tells nothing."""
+    report = REPORT.fullmatch(answer.fields.get("server-load", ""))
+    return (float(report[1]), float(report[2])) if report else (None, None)
 
 
 @dataclass(slots=True)
@@ -258,9 +251,9 @@
                 self.drop(next(iter(self._idle)))
         else:
             line.close()                # before the outcome is told: no two of one document are ever out
-        kind, over, wait_ms, room, limit = how
+        kind, *rest = how
         elapsed_ms = self.since(call)
-        self._told(call, our.Outcome(kind, call.number, elapsed_ms, over, wait_ms, room, limit, kept))
+        self._told(call, our.Outcome(kind, call.number, elapsed_ms, *rest, kept))
 
     def drop(self, line: Line) -> None:
         self._idle.pop(line, None)
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -66,11 +66,13 @@
         self.sender.document(self.now, doc_id, destination, kind, left, key)
         self.sender.turn(self.now)
 
-    def back(self, docs, kind="sync", key=None, **past):
-        """Documents that a sender before this one held, all in one turn; doubt at the time 0."""
+    def back(self, docs, kind="sync", key=None, fresh=(), **past):
+        """What a sender before this one held, in one turn; doubt at the time 0; fresh ones were not sent."""
         for doc_id in docs:
             self.number[doc_id] = past.get("sent", 0) - 1
             self.sender.document(self.now, doc_id, 1, kind, 20000.0, key, our.Past(**past))
+        for doc_id in fresh:
+            self.sender.document(self.now, doc_id, 1, kind, 20000.0, key)
         self.sender.turn(self.now)
 
     def ends(self, doc_id, kind, after=0.0, over=None, **words):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -233,6 +233,12 @@
     assert len(story.calls) == out
 
 
+def test_a_few_failures_among_many_held_at_a_restart_are_no_outage():
+    story = Story(max_held=500)
+    story.back(["d1", "d2", "d3", "d4"], fresh=[f"f{number}" for number in range(200)], sent=1, failed=1)
+    assert len(story.calls) == 4
+
+
 def test_time_outs_of_a_silent_endpoint_are_not_blamed_on_idle_connections():
     story = Story()
     for name in "ds":                           # four at a time, first served, then silent after idle time
