One seam to the machine, and a clock that outlasts the process without stepping

Need: the emulator must run the sender that ships, not a copy; os, time, signals and TCP_INFO were called from ledger, driver and sender directly.

Change: net/machine.py owns files, clocks, signals and the listening socket; a transport may bring its own Kernel. Ids that ended before a start are kept in an order that no hash decides.

--- a/birchstack/net/driver.py
+++ b/birchstack/net/driver.py
@@ -1,4 +1,4 @@
-"""The thin layer between sockets and the state machines: asyncio's BufferedProtocol, dialling, listening.
+"""The thin layer between sockets and the state machines: asyncio's BufferedProtocol and dialling.
 
 Owns transports and the one buffer all are read into. Must never look into the bytes, keep a time-out or
 decide what a broken connection means: its owner is told opened, received, ended, lost, and does that.
@@ -15,7 +15,6 @@
 from typing import Protocol
 
 BUFFER = memoryview(bytearray(65536))   # each read is handed on before the next one
-ACCEPTED, BACKLOG = 16, 1024            # so many in one pass at most; so many wait for that in the kernel
 DRAINED = 262144                        # more than so much is not read of what nobody wants
 LINGER_S = 1.0                          # a reset would take an answer back that the peer has not read yet
 PEER_CLOSED = (7, 8, 9, 10, 11)         # TCP states: close, close-wait, last-ack, listen, closing
@@ -31,18 +30,44 @@
     def lost(self) -> None: ...
 
 
+class Kernel:
+    """What the kernel knows of one socket. A transport whose network is not the kernel's brings its own, by
+    get_extra_info("kernel")."""
+
+    def __init__(self, sock: socket.socket | None) -> None:
+        self._sock = sock
+
+    def unread(self) -> int:
+        try:
+            return struct.unpack("i", fcntl.ioctl(self._sock.fileno(), termios.FIONREAD, b"\0\0\0\0"))[0]
+        except (OSError, AttributeError):
+            return 0
+
+    def told(self) -> tuple[float, bool]:
+        try:
+            info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 104)
+            return float(struct.unpack_from("=I", info, 52)[0]), info[0] in PEER_CLOSED
+        except (OSError, struct.error, AttributeError):
+            return 0.0, False
+
+
+NO_KERNEL = Kernel(None)                # of a link that is not connected yet
+
+
 class Link(asyncio.BufferedProtocol):
     """One connection."""
 
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
         self._transport: asyncio.Transport | None = None
+        self._kernel = NO_KERNEL
         self.unsent, self.closed = False, False     # bytes wait here for the kernel to take them
         self._over: Callable[[], None] | None = None
         self._dropped = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self._transport = transport
+        self._kernel = transport.get_extra_info("kernel") or Kernel(transport.get_extra_info("socket"))
         if self.closed:                 # given up while it was dialled
             transport.abort()
             return
@@ -105,20 +130,11 @@
 
     def unread(self) -> int:
         """How many bytes the kernel has that were not read yet."""
-        try:
-            return struct.unpack("i", fcntl.ioctl(self._transport.get_extra_info("socket").fileno(),
-                                                  termios.FIONREAD, b"\0\0\0\0"))[0]
-        except (OSError, AttributeError):
-            return 0
+        return self._kernel.unread()
 
     def told(self) -> tuple[float, bool]:
         """What the kernel knows: for how many milliseconds no byte has come, and whether the peer closed."""
-        try:
-            info = self._transport.get_extra_info("socket").getsockopt(
-                socket.IPPROTO_TCP, socket.TCP_INFO, 104)
-            return float(struct.unpack_from("=I", info, 52)[0]), info[0] in PEER_CLOSED
-        except (OSError, struct.error, AttributeError):
-            return 0.0, False
+        return self._kernel.told()
 
 
 def address(text: str) -> tuple[str, int]:
@@ -147,11 +163,3 @@
         else:
             self.link.closed = True
             self._task.cancel()
-
-
-async def listen(loop: asyncio.AbstractEventLoop, where: tuple[str, int], owner) -> asyncio.Server:
-    family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
-    door = socket.create_server(where, backlog=BACKLOG, family=family)
-    server = await loop.create_server(lambda: Link(owner()), sock=door, backlog=ACCEPTED)
-    door.listen(BACKLOG)                # asyncio has one figure for both
-    return server
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -13,8 +13,9 @@
 from collections.abc import Callable
 
 from birchstack.net import http1
-from birchstack.net.driver import Link, listen
+from birchstack.net.driver import Link
 from birchstack.net.log import say
+from birchstack.net.machine import Machine
 
 TAKEN, REJECTED, CLOSED, ABANDONED = "taken", "rejected", "closed", "abandoned"     # closed: to all, for now
 STATUS = {TAKEN: 202, REJECTED: 429, CLOSED: 503, ABANDONED: 500}
@@ -230,8 +231,8 @@
         self._server: asyncio.Server | None = None
         self.time, self.closing, self.counts = loop.time, False, {}
 
-    async def open(self, where: tuple[str, int]) -> None:
-        self._server = await listen(self._loop, where, lambda: Client(self))
+    async def open(self, machine: Machine, where: tuple[str, int]) -> None:
+        self._server = await machine.listen(self._loop, where, lambda: Link(Client(self)))
         self._loop.call_later(SWEEP_S, self._sweep)
 
     def __len__(self) -> int:
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -10,12 +10,13 @@
 import contextlib
 import json
 import logging
-import os
 import zlib
 from dataclasses import dataclass, field
 
 from birchstack.net.log import say
+from birchstack.net.machine import Folder
 
+FILE = "ledger"
 BLOCK = 512
 LINE = 512                      # room kept for what is still to be written of one document
 GROWN = 131072                  # the file is written anew when it is so long and mostly past
@@ -49,11 +50,10 @@
 class Ledger:
     """owed is the truth of the moment, in the order taken; every change is on disk before it returns."""
 
-    def __init__(self, folder: str, limit: int) -> None:
+    def __init__(self, folder: Folder, limit: int) -> None:
         self._folder, self._limit = folder, limit - 4 * 4096    # the folder itself may count
-        self._path = os.path.join(folder, "ledger")
         self.owed: dict[str, Owed] = {}
-        self.ended: set[str] = set()            # ended before the start; the file still told of them
+        self.ended: dict[str, None] = {}        # ended before the start; the file still told of them
         self._bodies = self._size = self._next = 0
         self._file = -1
         self._recover()
@@ -73,8 +73,7 @@
         self._next += 1
         try:
             if body:
-                with open(self._body(owed), "wb") as file:
-                    file.write(body)
+                self._folder.write(self._body(owed), body)
             self._append(self._taken(owed))
         except OSError:
             self._drop(owed)
@@ -110,7 +109,7 @@
         self._tidy()
 
     def close(self) -> None:
-        os.close(self._file)
+        self._folder.close(self._file)
 
     def _tidy(self) -> None:
         if self._size > max(GROWN, 2 * LINE * len(self.owed)):
@@ -125,11 +124,11 @@
     # On disk
 
     def _body(self, owed: Owed) -> str:
-        return os.path.join(self._folder, f"body-{owed.number}")
+        return f"body-{owed.number}"
 
     def _drop(self, owed: Owed) -> None:
         with contextlib.suppress(OSError):
-            os.unlink(self._body(owed))
+            self._folder.unlink(self._body(owed))
 
     def _forget_body(self, owed: Owed) -> None:
         if owed.size:
@@ -148,7 +147,7 @@
 
     def _append(self, words: list) -> None:
         line = self._line(words)
-        written = os.write(self._file, line)
+        written = self._folder.append(self._file, line)
         self._size += written
         if written < len(line):
             raise OSError(f"{written} of {len(line)} bytes written")
@@ -170,25 +169,24 @@
         text = b"".join(self._line(words) for owed in self.owed.values() for words in self._lines_of(owed))
         fresh = -1
         try:
-            fresh = os.open(self._path + ".new", os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-            if os.write(fresh, text) < len(text):
+            fresh = self._folder.open(FILE + ".new", fresh=True)
+            if self._folder.append(fresh, text) < len(text):
                 raise OSError("no room for the new ledger")
-            os.rename(self._path + ".new", self._path)
+            self._folder.rename(FILE + ".new", FILE)
         except OSError as problem:
             if fresh >= 0:
-                os.close(fresh)
+                self._folder.close(fresh)
             self._size = 0              # tried again when as much has been written once more
             say(log, "not compacted", logging.ERROR, problem=problem)
             return
-        os.close(self._file)
+        self._folder.close(self._file)
         self._file, self._size = fresh, len(text)
 
     # At the start
 
     def _recover(self) -> None:
         try:
-            with open(self._path, "rb") as file:
-                lines = file.read().split(b"\n")
+            lines = self._folder.read(FILE).split(b"\n")
         except FileNotFoundError:
             lines = []
         torn = 0
@@ -204,7 +202,7 @@
                 owed.doubt.append(owed.out)     # it may have run, and its outcome will not come
                 owed.out = None
         self._load_bodies()
-        self._file = os.open(self._path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+        self._file = self._folder.open(FILE)
         self.compact()
         if lines:
             say(log, "recovered", owed=len(self.owed), torn=torn)
@@ -226,7 +224,7 @@
             owed.notice = words[0], words[1]
         elif what == "done":
             del self.owed[doc_id]
-            self.ended.add(doc_id)
+            self.ended[doc_id] = None
 
     def _load_bodies(self) -> None:
         wanted = set()
@@ -236,17 +234,16 @@
             if not owed.size:
                 continue
             try:
-                with open(self._body(owed), "rb") as file:
-                    owed.body = file.read()
+                owed.body = self._folder.read(self._body(owed))
             except OSError:
                 owed.body = b""
             if len(owed.body) == owed.size:
-                wanted.add(os.path.basename(self._body(owed)))
+                wanted.add(self._body(owed))
                 self._bodies += blocks(owed.size)
             else:                       # cannot be sent any more: its end is still owed
                 say(log, "body lost", logging.ERROR, doc=owed.id)
                 owed.size, owed.body, owed.notice = 0, b"", ("dead", 0.0)
-        for name in os.listdir(self._folder):
-            if name.startswith("body-") and name not in wanted or name == "ledger.new":
+        for name in self._folder.names():
+            if name.startswith("body-") and name not in wanted or name == FILE + ".new":
                 with contextlib.suppress(OSError):
-                    os.unlink(os.path.join(self._folder, name))
+                    self._folder.unlink(name)
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -10,8 +10,6 @@
 import asyncio
 import dataclasses
 import logging
-import signal
-import time
 
 from birchstack import interface as our
 from birchstack.decide import NEVER_RAN, Sender
@@ -21,6 +19,7 @@
 from birchstack.net.front import ABANDONED, CLOSED, REJECTED, TAKEN, Front, Handed
 from birchstack.net.ledger import Ledger
 from birchstack.net.log import broken, holds, say
+from birchstack.net.machine import LastingClock, Machine
 from birchstack.net.notices import Notices
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5     # after SIGTERM: new clients, new calls, answers to calls
@@ -35,10 +34,14 @@
 class Node:
     """Carries out what the decisions say, and tells them what happens."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop,
+                 machine: Machine | None = None) -> None:
         self._config, self._loop, self._began = config, loop, loop.time()
+        self._machine = machine or Machine()
+        folder = self._machine.folder(config.state)
+        self._lasting = LastingClock(self._machine, folder)
         self._core = Sender(config.settings, config.seed, self)
-        self._ledger = Ledger(config.state, config.disk_bytes)
+        self._ledger = Ledger(folder, config.disk_bytes)
         clients = config.sockets * CLIENTS_SHARE // 100
         idle = max(8, config.sockets - clients - OTHERS - config.settings.slots)
         self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, idle, self._delivered,
@@ -64,12 +67,9 @@
 
     async def start(self) -> None:
         """Takes up what is owed, then opens the door."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self.close)
-        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])     # one that came before is heard now
+        self._machine.on_signals(self._loop, self.close, self.reload)
         self._watch.start(self._config.known)
-        now, wall = self.clock(), time.time() * 1000.0
+        now, wall = self.clock(), self._lasting.ms()
         self._answers = {doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)}
         for owed in [*self._ledger.owed.values()]:
             owed.due = now + owed.expiry - wall
@@ -84,7 +84,7 @@
             self._inbox.append((self._core.document, owed.id, owed.destination, owed.type,
                                 owed.expiry - wall, owed.key, past))
         self._turn()
-        await self._front.open(self._config.listen)
+        await self._front.open(self._machine, self._config.listen)
         self._look_for_overdue()
         self._loop.call_later(REPORT_S, self._report)
         say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._zones))
@@ -215,7 +215,7 @@
     def _settle(self, now: float) -> None:
         """After the turn: the ledger, then the answers, then the calls."""
         fresh, self._fresh = self._fresh, {}
-        wall = time.time() * 1000.0
+        wall = self._lasting.ms()
         for handed in fresh.values():
             try:
                 owed = self._ledger.take(handed.id, handed.type, handed.destination, handed.key,
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from birchstack.net import ledger as module
+from birchstack.net import machine as module
 from birchstack.net.ledger import Ledger, blocks
+from birchstack.net.machine import Folder
 
 
 def used(folder):
@@ -17,11 +18,11 @@
 
 
 def test_an_empty_folder_is_normal(tmp_path):
-    assert not Ledger(str(tmp_path), 3_000_000).owed
+    assert not Ledger(Folder(str(tmp_path)), 3_000_000).owed
 
 
 def test_a_document_comes_back_with_its_past_and_in_order(tmp_path):
-    ledger = Ledger(str(tmp_path), 3_000_000)
+    ledger = Ledger(Folder(str(tmp_path)), 3_000_000)
     for doc_id in "zab":
         take(ledger, doc_id, doc_id.encode() * 3)
     owed = ledger.owed["a"]
@@ -31,7 +32,7 @@
     ledger.call(owed, "bz", 200.0)              # and this one is out at the end
     ledger.done(ledger.owed["b"])
     for _ in range(2):                          # the second time from what the first wrote anew
-        again = Ledger(str(tmp_path), 3_000_000)
+        again = Ledger(Folder(str(tmp_path)), 3_000_000)
         assert [*again.owed] == ["z", "a"]
         back = again.owed["a"]
         assert (back.sent, back.failed, back.body, back.expiry, back.out) == (3, 2, b"aaa", 9000.0, None)
@@ -40,41 +41,41 @@
 
 @pytest.mark.parametrize("cut", [1, 9, 30])
 def test_a_torn_last_record_is_skipped_and_does_not_spoil_the_next(tmp_path, cut):
-    ledger = Ledger(str(tmp_path), 3_000_000)
+    ledger = Ledger(Folder(str(tmp_path)), 3_000_000)
     take(ledger, "a")
     take(ledger, "b")
     with open(tmp_path / "ledger", "r+b") as file:
         file.truncate(os.path.getsize(tmp_path / "ledger") - cut)
     take(ledger, "c")                           # as a process would that survived a full disk
-    assert [*Ledger(str(tmp_path), 3_000_000).owed] == ["a", "c"]
+    assert [*Ledger(Folder(str(tmp_path)), 3_000_000).owed] == ["a", "c"]
 
 
 def test_a_notice_is_owed_until_it_is_known_and_its_body_is_not_kept(tmp_path):
-    ledger = Ledger(str(tmp_path), 3_000_000)
+    ledger = Ledger(Folder(str(tmp_path)), 3_000_000)
     ledger.notice(take(ledger), "bounced", 250.0)
     assert os.listdir(tmp_path) == ["ledger"]
-    again = Ledger(str(tmp_path), 3_000_000)
+    again = Ledger(Folder(str(tmp_path)), 3_000_000)
     assert again.owed["d"].notice == ("bounced", 250.0)
     again.done(again.owed["d"])
-    last = Ledger(str(tmp_path), 3_000_000)
+    last = Ledger(Folder(str(tmp_path)), 3_000_000)
     assert not last.owed and "d" in last.ended
 
 
 def test_a_body_without_its_record_goes_and_a_record_without_its_body_is_owed_an_end(tmp_path):
-    ledger = Ledger(str(tmp_path), 3_000_000)
+    ledger = Ledger(Folder(str(tmp_path)), 3_000_000)
     take(ledger, "a")
     take(ledger, "b")
     os.unlink(tmp_path / "body-0")
     (tmp_path / "body-77").write_bytes(b"x")
     (tmp_path / "ledger.new").write_bytes(b"half")
-    again = Ledger(str(tmp_path), 3_000_000)
+    again = Ledger(Folder(str(tmp_path)), 3_000_000)
     assert again.owed["a"].notice == ("dead", 0.0) and again.owed["b"].notice is None
     assert sorted(os.listdir(tmp_path)) == ["body-1", "ledger"]
 
 
 def test_the_limit_holds_with_the_largest_bodies_and_while_the_file_is_written_anew(tmp_path, monkeypatch):
     limit, most = 3_000_000, []
-    ledger = Ledger(str(tmp_path), limit)
+    ledger = Ledger(Folder(str(tmp_path)), limit)
     monkeypatch.setattr(module.os, "rename", lambda old, new: (most.append(used(tmp_path)),
                                                                os.replace(old, new)))
     for number in range(4000):
@@ -87,11 +88,11 @@
             ledger.back(owed, True, True)
         most.append(used(tmp_path))
     assert len(ledger.owed) >= 40 and max(most) <= limit and len(most) > 2000
-    assert len(Ledger(str(tmp_path), limit).owed) == len(ledger.owed)
+    assert len(Ledger(Folder(str(tmp_path)), limit).owed) == len(ledger.owed)
 
 
 def test_what_cannot_be_kept_is_not_owed(tmp_path, monkeypatch):
-    ledger = Ledger(str(tmp_path), 3_000_000)
+    ledger = Ledger(Folder(str(tmp_path)), 3_000_000)
 
     def full(*words):
         raise OSError("no space")
