--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -39,6 +39,7 @@
 LEAST_TOGETHER, LEAST_PACE = 4.0, 0.5          # calls a second to a destination, of all senders, of one
 SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
 GUESSED_TOP, BURST = 4.0, 0.25                 # a limit not told over the first rate; seconds of the pace
+OUTAGE_MS, LINE = 1000.0, 1.0                  # failed so long, with such seconds of documents in line: cold
 ASK_AGAIN_MS, EARLY_MS = 1000.0, 1.0           # a failed subscription is renewed; an alarm may be early
 CALL_MS, FORGET = 100.0, 64                    # a call takes so long at least; so many empty ones are kept
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
@@ -598,13 +599,18 @@
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
+        silent = now - ep.failed_at > OUTAGE_MS and all(each.ok_at < ep.failed_at for each in route.endpoints)
+        silent = silent or any(each.ill for each in route.endpoints)    # an outage that few calls here met
+        back = ep.ill or ep.streak and silent and len(dest.line) > max(STREAK, LINE * dest.rate(now))
         ep.streak, ep.ok_at, ep.failing, ep.doubtful = 0, now, ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
-        if ep.ill:
+        if back:
             route.trial_at, route.trial_ms = now, TRIAL_MS
             if ep.failing <= ILL_SHARE:
-                ep.ill, ep.back_at, ep.meter = False, now, Meter(now, self._draw(0.0, 1.0))
+                for each in route.endpoints:    # a sibling that failed and served nothing since is as cold
+                    if each is ep or each.streak and not each.ill:
+                        each.ill, each.back_at, each.meter = False, now, Meter(now, self._draw(0.0, 1.0))
                 self._host.log(f"destination {dest.number}: endpoint back, {dest.rate(now):.2f} documents/s")
 
     def _patience(self, route: Route, ep: Endpoint, doc: Document) -> float:
@@ -636,7 +642,8 @@
             dest.routes.append(Route(self._set.per_call[entry.kind], rate, now))
         number = sum(len(each.endpoints) for each in dest.routes)
         route, ep = dest.routes[-1], Endpoint(entry.name, entry.zone, number, now)
-        ep.ill = any(other.ill for other in route.endpoints)    # a new one beside the sick: no burst there
+        ep.ill = any(other.ill for other in route.endpoints)    # a new one beside the sick: no burst there,
+        ep.back_at = max((other.back_at for other in route.endpoints if other.back_at), default=None)   # nor here
         route.endpoints.append(ep)
         self._endpoints[entry.name] = route, ep
 
--- a/birchstack/emulator/judge.py
+++ b/birchstack/emulator/judge.py
@@ -88,8 +88,10 @@
 class Judge:
     """Told what happens; breaches holds what should not have."""
 
-    def __init__(self, scenario: Scenario, keep_log: bool = False) -> None:
-        self._set = scenario
+    def __init__(self, scenario: Scenario, keep_log: bool = False, order_ms: float = 0.0) -> None:
+        """order_ms: events within this are seen in no sure order (real sockets); 0 where order is exact."""
+        self._set, self._order_ms = scenario, order_ms
+        self._twice: list[tuple[float, Story, CallSeen]] = []
         self.docs: dict[str, Story] = {}
         self.breaches: list[Breach] = []
         self.counts: Counter[str] = Counter()
@@ -104,6 +106,7 @@
         self._still: dict[int, list[tuple[float, float]]] = defaultdict(list)
         self._rejected_kinds: Counter[str] = Counter()
         self._orders = 0
+        self._out_of_turn: list[tuple[float, Story, Story]] = []
         self._owed: dict[str, Story] = {}  # taken on, no end yet, in the order taken
         self.value = self.value_asked = 0.0
         self.delivered: dict[int, float] = {}  # by logical document: when
@@ -266,12 +269,14 @@
         self._check_listed(now, doc, sender, endpoint)
         self._check_wait(now, doc, sender, destination)
         self._check_order(now, doc, sender)
+        if not self._order_ms:
+            self._settle_twice()
         doc.calls.append(seen)
         if len(doc.calls) > self._set.sender.max_transmissions:
             self.breach("most", now, doc, f"{len(doc.calls)} transmissions")
         self._out[sender, destination] += 1
         self._out_all[sender] += 1
-        slots = self._set.sender.slots
+        slots = self._set.sender.slots + (2 if self._order_ms else 0)
         if self._out[sender, destination] > max(1, slots * 3 // 4):
             self.breach("window", now, doc, f"{self._out[sender, destination]} calls out to {destination}")
         if self._out_all[sender] > slots:
@@ -297,7 +302,7 @@
         """Rule 2: one transmission out; a repeat only where the effect allows it."""
         for call in doc.calls:
             if call.over_at is None:
-                self.breach("2 twice out", now, doc, f"the call at {call.endpoint} is still out")
+                self._twice.append((now, doc, call))
             if call.status in PROVES_NOT_RUN:
                 continue
             if doc.type.effect == "binding":
@@ -309,6 +314,12 @@
                     "2 window", now, doc, f"sent again {now - call.at:.0f} ms after one that may have run"
                 )
 
+    def _settle_twice(self) -> None:
+        for at, doc, call in self._twice:
+            if call.over_at is None or call.over_at > at + self._order_ms:
+                self.breach("2 twice out", at, doc, f"the call at {call.endpoint} is still out")
+        self._twice.clear()
+
     def _check_listed(self, now: float, doc: Story, sender: int, endpoint: str) -> None:
         """Rule 3: nothing new to an endpoint that drains or is gone, after the grace."""
         state, since = self._listed.get((sender, endpoint), ("active", now))
@@ -330,7 +341,7 @@
             if other is doc or other.heard_at is None or other.heard_at > doc.handed_at:
                 continue
             if other.delivered_at is None and other.notice is None and now < other.expiry:
-                self.breach("5 order", now, doc, f"{other.id} was taken before it and is not over")
+                self._out_of_turn.append((now, doc, other))  # unless its notice is under way
         since, whose = self._doubt.get((sender, doc.key), (-1e9, ""))
         if whose != doc.id and now < since + self._set.sender.key_rest_ms - ALLOWED_MS:
             self.breach("5 rest", now, doc, f"the key is in doubt since {now - since:.0f} ms")
@@ -462,6 +473,12 @@
                 if doc.gave_up_at is None:
                     self.breach("1 lost", now, doc, f"no end {now - doc.expiry:.0f} ms after its expiry")
 
+        self._settle_twice()
+        for at, doc, other in self._out_of_turn:
+            if other.notice is None or other.notice[0] > at + ALLOWED_MS:
+                self.breach("5 order", at, doc, f"{other.id} was taken before it and was not over")
+        self._out_of_turn.clear()
+
     def finish(self, now: float) -> None:
         self.look(now)
         firsts = self.counts["calls"] - self.counts["repeats"]
