--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -642,8 +642,8 @@
             dest.routes.append(Route(self._set.per_call[entry.kind], rate, now))
         number = sum(len(each.endpoints) for each in dest.routes)
         route, ep = dest.routes[-1], Endpoint(entry.name, entry.zone, number, now)
-        ep.ill = any(other.ill for other in route.endpoints)    # a new one beside the sick: no burst there,
-        ep.back_at = max((other.back_at for other in route.endpoints if other.back_at), default=None)   # nor here
+        ep.ill = any(other.ill for other in route.endpoints)    # a new one beside the sick or cold: no burst
+        ep.back_at = max((each.back_at for each in route.endpoints if each.back_at), default=None)
         route.endpoints.append(ep)
         self._endpoints[entry.name] = route, ep
 
