--- a/birchstack/emulator/folder.py
+++ b/birchstack/emulator/folder.py
@@ -11,6 +11,7 @@
 from birchstack.emulator.clock import Killed
 
 BLOCK = 512
+BEFORE, TORN, AFTER = "before", "torn", "after"  # a strike: none, half or all is written
 
 
 def _no_space() -> OSError:
@@ -24,22 +25,25 @@
         self.files: dict[str, bytearray] = {}
         self.full = False
         self.writes = self.most_bytes = 0
-        self.strike: tuple[int, bool] | None = None  # the write to strike at (counted), and whether it tears
+        self.strike: tuple[int, str] | None = None  # the write to strike at (counted), and how
         self.died: Callable[[], None] = lambda: None  # ends the process that writes
 
     def used(self) -> int:
         return sum(-(-len(data) // BLOCK) * BLOCK for data in self.files.values())
 
-    def step(self, data: bytes) -> bytes:
-        """Before each change: what of it still happens. A kill before it raises; a torn one writes half."""
+    def step(self, data: bytes = b"") -> tuple[bytes, bool]:
+        """Before each change: what of it still happens, and whether the process ends with it."""
         self.writes += 1
-        if self.strike and self.writes >= self.strike[0]:
-            torn, self.strike = self.strike[1], None
-            if not torn or not data:
-                self.died()
-                raise Killed
-            return data[: len(data) // 2]
-        return data
+        if not self.strike or self.writes < self.strike[0]:
+            return data, False
+        how, self.strike = self.strike[1], None
+        if how == BEFORE or how == TORN and not data:
+            self.end()
+        return (data[: len(data) // 2], True) if how == TORN else (data, True)
+
+    def end(self) -> None:
+        self.died()
+        raise Killed
 
 
 class MemoryFolder:
@@ -82,11 +86,10 @@
     def append(self, handle: int, data: bytes) -> int:
         self._may()
         disk = self._disk
-        part = disk.step(data)
-        if len(part) < len(data):
+        part, dies = disk.step(data)
+        if dies:
             self._open[handle].extend(part)
-            disk.died()
-            raise Killed
+            disk.end()
         if disk.full:
             part = data[: max(0, -len(self._open[handle]) % BLOCK)]  # the last block has some room left
             if not part:
@@ -100,13 +103,17 @@
 
     def rename(self, old: str, new: str) -> None:
         self._may()
-        self._disk.step(b"")
+        _, dies = self._disk.step()
         if old not in self._disk.files:
             raise FileNotFoundError(errno.ENOENT, "No such file", old)
         self._disk.files[new] = self._disk.files.pop(old)
+        if dies:
+            self._disk.end()
 
     def unlink(self, name: str) -> None:
         self._may()
-        self._disk.step(b"")
+        _, dies = self._disk.step()
         if self._disk.files.pop(name, None) is None:
             raise FileNotFoundError(errno.ENOENT, "No such file", name)
+        if dies:
+            self._disk.end()
--- a/birchstack/emulator/scenario.py
+++ b/birchstack/emulator/scenario.py
@@ -29,7 +29,8 @@
 )  # the destination is cold after these
 HARMS = ("erring", "slow", "stalling", "answer_lost", "spoilt", "idle_dropped", "limit_lowered")
 LISTS = ("drain", "replace", "readdress")
-SENDERS = ("sigterm", "kill", "kill_at_write", "torn_write", "stand_still", "disk_full", "clock_step")
+WRITES = {"kill_at_write": "before", "torn_write": "torn", "kill_after_write": "after"}
+SENDERS = ("sigterm", "kill", *WRITES, "stand_still", "disk_full", "clock_step")
 AROUND = ("discovery_silent", "jump", "bad_clients")
 KINDS = OUTAGES + HARMS + LISTS + SENDERS + AROUND
 Kind = Literal[
@@ -53,6 +54,7 @@
     "kill",
     "kill_at_write",
     "torn_write",
+    "kill_after_write",
     "stand_still",
     "disk_full",
     "clock_step",
@@ -164,8 +166,9 @@
     """One trouble. destinations (by number) or a share of them; senders by number; size by kind:
 
     erring, answer_lost, spoilt, drain, replace, readdress: share of calls or endpoints; slow, jump: a factor;
-    limit_lowered: what is left; idle_dropped: milliseconds of idle time; kill_at_write, torn_write: which
-    write after the start of the trouble; clock_step: seconds; bad_clients: connections a second."""
+    limit_lowered: what is left; idle_dropped: milliseconds of idle time; kill_at_write, torn_write,
+    kill_after_write: which write after the start of the trouble; clock_step: seconds; bad_clients: such
+    connections a second."""
 
     kind: Kind
     at: NotBelow
@@ -189,6 +192,7 @@
     "idle_dropped": 300.0,
     "kill_at_write": 3.0,
     "torn_write": 3.0,
+    "kill_after_write": 3.0,
     "clock_step": -30.0,
     "bad_clients": 10.0,
 }
@@ -285,7 +289,7 @@
         at = round(chance.uniform(3.0, base.seconds * 0.6), 1)
         seconds = round(chance.uniform(1.0, base.seconds * 0.3), 1)
         size = DEFAULT_SIZE.get(kind)
-        if kind in ("kill_at_write", "torn_write"):
+        if kind in WRITES:
             size = float(chance.randint(1, 12))
         elif kind == "clock_step":
             size = chance.choice((-60.0, -5.0, 5.0, 60.0))
--- a/birchstack/emulator/sockets.py
+++ b/birchstack/emulator/sockets.py
@@ -288,7 +288,7 @@
     def kill(self, number: int, down_ms: float) -> None:
         self._day.processes[number].signal(signal.SIGKILL)
 
-    def kill_at_write(self, number: int, write: int, torn: bool, down_ms: float) -> None:
+    def kill_at_write(self, number: int, write: int, how: str, down_ms: float) -> None:
         self._day.left_out["a struck write became kill -9"] += 1
         self.kill(number, down_ms)
 
--- a/birchstack/emulator/virtual.py
+++ b/birchstack/emulator/virtual.py
@@ -167,10 +167,10 @@
             )
             self._over("killed")
 
-    def strike_write(self, write: int, torn: bool, down_ms: float) -> None:
+    def strike_write(self, write: int, how: str, down_ms: float) -> None:
         self._down_ms = down_ms
         self.disk.died = lambda: self._over("killed at a write")
-        self.disk.strike = (self.disk.writes + write, torn)
+        self.disk.strike = (self.disk.writes + write, how)
 
 
 class Senders:
@@ -188,8 +188,8 @@
     def kill(self, number: int, down_ms: float) -> None:
         self._process(number).kill(down_ms)
 
-    def kill_at_write(self, number: int, write: int, torn: bool, down_ms: float) -> None:
-        self._process(number).strike_write(write, torn, down_ms)
+    def kill_at_write(self, number: int, write: int, how: str, down_ms: float) -> None:
+        self._process(number).strike_write(write, how, down_ms)
 
     def stand(self, number: int, still: bool) -> None:
         if not self._process(number).loop.dead:
--- a/birchstack/emulator/world.py
+++ b/birchstack/emulator/world.py
@@ -26,7 +26,16 @@
     Stage,
     message,
 )
-from birchstack.emulator.scenario import HARMS, LISTS, OUTAGES, SENDERS, DocumentType, Scenario, Trouble
+from birchstack.emulator.scenario import (
+    HARMS,
+    LISTS,
+    OUTAGES,
+    SENDERS,
+    WRITES,
+    DocumentType,
+    Scenario,
+    Trouble,
+)
 
 EFFECTS = {"replayable": "safe", "numbered": "keyed", "binding": "unsafe"}
 NEVER_AGAIN_MS = 100.0  # less time left than this: a client hands nothing in
@@ -41,7 +50,7 @@
 
     def kill(self, number: int, down_ms: float) -> None: ...
 
-    def kill_at_write(self, number: int, write: int, torn: bool, down_ms: float) -> None: ...
+    def kill_at_write(self, number: int, write: int, how: str, down_ms: float) -> None: ...
 
     def stand(self, number: int, still: bool) -> None: ...
 
@@ -577,8 +586,8 @@
                 self.senders.term(number, DOWN_MS)
             elif kind == "kill":
                 self.senders.kill(number, DOWN_MS)
-            elif kind in ("kill_at_write", "torn_write"):
-                self.senders.kill_at_write(number, int(size_of(trouble)), kind == "torn_write", DOWN_MS)
+            elif kind in WRITES:
+                self.senders.kill_at_write(number, int(size_of(trouble)), WRITES[kind], DOWN_MS)
             elif kind == "stand_still":
                 self.judge.stands_still(self.stage.now_ms(), number)
                 self.senders.stand(number, True)
