--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -607,7 +607,7 @@
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
         if back:
             route.trial_at, route.trial_ms = now, TRIAL_MS
-            if ep.failing <= ILL_SHARE:
+            if not ep.ill or ep.failing <= ILL_SHARE:
                 for each in route.endpoints:    # a sibling that failed and served nothing since is as cold
                     if each is ep or each.streak and not each.ill:
                         each.ill, each.back_at, each.meter = False, now, Meter(now, self._draw(0.0, 1.0))
--- a/birchstack/emulator/explore.py
+++ b/birchstack/emulator/explore.py
@@ -108,7 +108,9 @@
     )
     if result.breaches:
         small = shrink(scenario, seed, result.breaches[0].rule) if shrinks else scenario
-        outcome.scenario, outcome.text = small, play(small, seed).text_of_breaches()
+        again = play(small, seed)
+        again.repeat = f"birchstack emulate FOLDER/seed-{seed}.toml --seed {seed}"
+        outcome.scenario, outcome.text = small, again.text_of_breaches()
     return outcome
 
 
@@ -163,4 +165,5 @@
             path = folder / f"seed-{outcome.seed}.toml"
             path.write_bytes(dump(outcome.scenario))
             outcome.path = f"birchstack emulate {path} --seed {outcome.seed}"
+            outcome.text = outcome.text.replace(f"FOLDER/seed-{outcome.seed}.toml", str(path))
         found.breaches.append(outcome)
