--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -320,3 +320,40 @@
     story.take("d1")
     story.ends("d1", our.OK, 50.0, kept=False)
     assert not story.sender._endpoints["a"][1].idle and not story.sender._lying
+
+
+@pytest.mark.parametrize("fresh", [0, 6])
+def test_an_endpoint_that_failed_a_little_in_an_outage_gets_no_burst_when_it_serves_again(fresh):
+    story = Story(slots=40)                     # found by the emulator: seeds 22, 125, 1038
+    for number in range(10):
+        story.take(f"d{number}")
+        story.ends(f"d{number}", our.OK, 100.0)
+    story.take("first")
+    story.ends("first", our.CONNECT_FAILED, 10.0)
+    for number in range(fresh):
+        story.take(f"f{number}")
+        if story.tries(f"f{number}") > story.ends_of(f"f{number}"):
+            story.ends(f"f{number}", our.FULL, 400.0)
+    for number in range(8):
+        story.take(f"w{number}")
+    for doc, _ in story.calls[:]:
+        if story.number[doc] == story.ends_of(doc) and doc != story.calls[-1][0]:
+            story.ends(doc, our.FULL, 300.0)
+    story.at(story.now + 1500.0)
+    out = len(story.calls)
+    story.ends(story.calls[-1][0], our.OK, 100.0)
+    assert len(story.calls) - out <= 2
+
+
+def test_one_that_joins_beside_the_cold_takes_over_their_warmth():
+    story = Story(slots=40)
+    story.take("d")
+    for _ in range(3):
+        if story.tries("d") > story.ends_of("d"):
+            story.ends("d", our.TIMEOUT, 2000.0)
+        story.at(story.now + 2500.0)
+    story.ends("d", our.OK, 50.0)
+    story.listed(["b"], our.CHANGES)            # found by the emulator: seed 196
+    for number in range(20):
+        story.take(f"e{number}")
+    assert sum(name == "b" for _, name in story.calls) <= 2
