--- a/birchstack/emulator/clock.py
+++ b/birchstack/emulator/clock.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import heapq
 from asyncio import events
 from collections import deque
@@ -117,10 +118,14 @@
         """Nothing of this process happens any more."""
         self.dead = True
         self._ready.clear()
+        for task in self._tasks:
+            with contextlib.suppress(RuntimeError, ValueError):  # the one that runs just now
+                task.get_coro().close()
 
     def stand(self, still: bool) -> None:
         self.still = still
-        if not still and self._ready:
+        if not still and self._ready:       # as asyncio does: what was read comes before the timers
+            self._ready = deque(sorted(self._ready, key=lambda each: isinstance(each, asyncio.TimerHandle)))
             self._clock.rouse(self)
 
     # What asyncio asks of a loop
@@ -185,7 +190,7 @@
         return False
 
     def call_exception_handler(self, context: dict) -> None:
-        if not isinstance(context.get("exception"), Killed):
+        if not self.dead and not isinstance(context.get("exception"), Killed):
             self.on_fault(context)
 
     def add_signal_handler(self, sig, callback, *args) -> None:
--- a/birchstack/emulator/peers.py
+++ b/birchstack/emulator/peers.py
@@ -149,6 +149,8 @@
         """The sender has let go; here that is not known yet, and an answer may cross it."""
         if self._call is not None:
             self._world.judge.let_go(self._world.stage.now_ms(), self._call)
+        else:
+            self.broke()
 
     def left(self) -> None:
         """The connection is over."""
@@ -159,7 +161,7 @@
             self._world.sender_failed(self.endpoint.destination, call.sender)
 
     def broke(self) -> None:
-        """The endpoint's machine or process went: what it answered last may not have come."""
+        """The connection ends at one side: what was answered last may not have come."""
         if (
             self._last
             and self._world.stage.now_ms() - self._last[1] < 4.0 * self._world.scenario.network.delay_ms
