Commands that repeat a breach are printed on one line

Need: a wrapped command could not be copied from the terminal. Change: soft wrap in the emulator's results.

--- a/birchstack/cli.py
+++ b/birchstack/cli.py
@@ -180,7 +180,7 @@
             )
         console.print(table)
         for each in found.breaches[:3]:
-            console.print(each.text, style="red", markup=False, highlight=False)
+            console.print(each.text, style="red", markup=False, highlight=False, soft_wrap=True)
 
 
 if __name__ == "__main__":
--- a/birchstack/emulator/result.py
+++ b/birchstack/emulator/result.py
@@ -112,6 +112,6 @@
             table.add_row(name, value)
         console.print(table)
         if self.breaches:
-            console.print(self.text_of_breaches(), style="red", markup=False, highlight=False)
+            console.print(self.text_of_breaches(), style="red", markup=False, highlight=False, soft_wrap=True)
         else:
             console.print("no rule was broken", style="green")
