A test that provokes the judge's bound on repeats

Need: no planted fault reaches that bound, so nothing showed that it can fire. Change: a test drives the judge with 70 and 150 repeats for 150 first tries. Measured: quiet at 70, a breach at 150.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -255,3 +255,17 @@
     judge.call(2100.0, 0, "d1", "e2", 0, b"x")
     assert [breach.rule for breach in judge.breaches] == ["2 effects"]
     assert any("call at e1" in line for line in doc.lines) and any("try 2" in line for line in doc.lines)
+
+
+@pytest.mark.parametrize(("repeats", "broken"), [(70, False), (150, True)])
+def test_the_judge_bounds_repeats_over_the_day(repeats, broken):
+    judge = Judge(SHORT)
+    judge.started(0.0, 0)
+    kind = SHORT.types[0]
+    for number in range(150):
+        doc = judge.handed(0.0, 0, f"d{number}", kind, 0, None, 9000.0, b"x", number)
+        judge.answered(1.0, doc, 202)
+        for _ in range(1 + (number < repeats)):
+            judge.answer(3.0, judge.call(2.0, 0, doc.id, "e1", 0, b"x"), 503, 0.0, 1.0)
+    judge.finish(4.0)
+    assert ("repeats" in [breach.rule for breach in judge.breaches]) == broken
