Kinds of trouble stand in one place; the judge's and peers' words used elsewhere are public

Need: read as a stranger, scenario.py listed all kinds of trouble twice, and world.py reached into private names of the judge and of endpoint peers.

Change: the type of a trouble's kind is made from the tuples; excused, wanted and leave are public. No behaviour.

--- a/birchstack/emulator/judge.py
+++ b/birchstack/emulator/judge.py
@@ -111,7 +111,7 @@
         self.value = self.value_asked = 0.0
         self.delivered: dict[int, float] = {}  # by logical document: when
         self.ms_to_deliver: list[float] = []
-        self._values: dict[int, tuple[DocumentType, float]] = {}
+        self.wanted: dict[int, tuple[DocumentType, float]] = {}
 
     # Writing down
 
@@ -177,7 +177,7 @@
     def asked(self, logical: int, kind: DocumentType, now: float) -> None:
         """A client has a document, to be handed in once or several times."""
         self.value_asked += kind.value
-        self._values[logical] = kind, now
+        self.wanted[logical] = kind, now
         self.counts["documents"] += 1
 
     def handed(
@@ -227,10 +227,10 @@
         doc.gave_up_at = now
         self.counts[f"unanswered, {why}"] += 1
         self.note(now, doc, f"client heard nothing: {why}")
-        if why == "patience" and not self._excused(doc.sender, doc.handed_at, now):
+        if why == "patience" and not self.excused(doc.sender, doc.handed_at, now):
             self.breach("answer", now, doc, "no answer in the client's time though the sender stood")
 
-    def _excused(self, sender: int, since: float, until: float) -> bool:
+    def excused(self, sender: int, since: float, until: float) -> bool:
         life = self.lives[sender][-1]
         if life.ended is not None or life.began > since or life.term_at is not None:
             return True
@@ -403,7 +403,7 @@
     def _deliver(self, now: float, doc: Story) -> None:
         if doc.gave_up_at is not None or doc.logical in self.delivered:
             return
-        kind, born = self._values.get(doc.logical, (doc.type, doc.handed_at))
+        kind, born = self.wanted.get(doc.logical, (doc.type, doc.handed_at))
         took = now - born
         if took > kind.expiry_ms:
             return
--- a/birchstack/emulator/peers.py
+++ b/birchstack/emulator/peers.py
@@ -126,10 +126,10 @@
 
     def _close(self) -> None:
         if not self.gone and self._call is None:
-            self._leave()
+            self.leave()
             self.port.close()
 
-    def _leave(self) -> None:
+    def leave(self) -> None:
         if not self.gone:
             self.gone = True
             self._world.tables[self.endpoint.uid] -= 1
@@ -140,7 +140,7 @@
         now = self._world.stage.now_ms()
         if self._last and now - self._last[1] < 4.0 * self._world.scenario.network.delay_ms + 5.0 and reset:
             self._last[0].broken = True
-        self._leave()
+        self.leave()
         self.left()
         if not reset:
             self.port.close()
@@ -237,7 +237,7 @@
                 None,
                 f"{self.endpoint.uid} cannot read what sender {self._sender} wrote: {problem}",
             )
-            self._leave()
+            self.leave()
             self.port.abort()
 
 
--- a/birchstack/emulator/scenario.py
+++ b/birchstack/emulator/scenario.py
@@ -33,35 +33,7 @@
 SENDERS = ("sigterm", "kill", *WRITES, "stand_still", "disk_full", "clock_step")
 AROUND = ("discovery_silent", "jump", "bad_clients")
 KINDS = OUTAGES + HARMS + LISTS + SENDERS + AROUND
-Kind = Literal[
-    "silent",
-    "refusing",
-    "crash",
-    "vanish",
-    "shut",
-    "shut_told",
-    "erring",
-    "slow",
-    "stalling",
-    "answer_lost",
-    "spoilt",
-    "idle_dropped",
-    "limit_lowered",
-    "drain",
-    "replace",
-    "readdress",
-    "sigterm",
-    "kill",
-    "kill_at_write",
-    "torn_write",
-    "kill_after_write",
-    "stand_still",
-    "disk_full",
-    "clock_step",
-    "discovery_silent",
-    "jump",
-    "bad_clients",
-]
+Kind = Literal[KINDS]
 
 
 class ScenarioError(Exception):
--- a/birchstack/emulator/world.py
+++ b/birchstack/emulator/world.py
@@ -294,7 +294,7 @@
         def late() -> None:
             if not heard:
                 heard.append(None)
-                if not self.judge._excused(sender, began, self.stage.now_ms()):
+                if not self.judge.excused(sender, began, self.stage.now_ms()):
                     self.judge.bad_client(self.stage.now_ms(), what, began, None)
             peer.hang_up()
 
@@ -468,7 +468,7 @@
                 doc.type,
                 doc.destination,
                 doc.key,
-                self.judge._values[doc.logical][1] + doc.type.expiry_ms,
+                self.judge.wanted[doc.logical][1] + doc.type.expiry_ms,
                 self._chance.randbytes(doc.size),
                 int(doc.id.rsplit("-", 1)[1]),
             )
@@ -551,7 +551,7 @@
         for peer in [*self.peers[endpoint.uid]]:
             peer.broke()
             peer.left()
-            peer._leave()
+            peer.leave()
         self.peers[endpoint.uid].clear()
 
     def _relist(self, dest: Destination, trouble: Trouble) -> None:
