--- a/birchstack/adapter/wire.py
+++ b/birchstack/adapter/wire.py
@@ -15,7 +15,7 @@
             "unused": our.UNSENT}
 STATES = {0: our.GONE, 1: our.READY, 2: our.DRAINING}
 MODES = {0: our.CHANGES, 1: our.WHOLE, 2: our.WHOLE, 3: our.FAILED}
-IGNORED = {"boot", "wake", "streaming", "probed", "datagram"}
+IGNORED = {"boot", "wake", "streaming", "probed"}
 
 
 class WireError(Exception):
@@ -55,6 +55,9 @@
     def subscribe(self) -> None:
         self._act("listen", want=True)
 
+    def tell(self, note: str) -> None:
+        self._act("notify", dst=-1, bytes=note)
+
     def log(self, text: str) -> None:
         self._act("sayLog", reasonText=text)
 
@@ -123,7 +126,8 @@
         sender = instance.sender
         if event == "inbound":
             return (sender.document, now, fields["txn"], fields["boundFor"], fields["service"],
-                    fields["timeBudgetMs"], fields.get("subject") or None)
+                    fields["timeBudgetMs"], fields.get("subject") or None, our.NO_PAST,
+                    fields.get("userGroup") or None)
         if event == "settled":
             if fields["how"] not in OUTCOMES:
                 raise WireError(f"unknown outcome {fields['how']!r}")
@@ -134,6 +138,8 @@
             return sender.endpoints, now, mode, instance.entries(records)
         if event == "hangup":
             return sender.withdrawn, now, fields["txn"]
+        if event == "datagram":
+            return sender.heard, now, fields["bytes"]
         if event not in IGNORED:
             raise WireError(f"unknown message {event!r}")
         return None
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -11,6 +11,7 @@
 
 import heapq
 import random
+import zlib
 from bisect import insort
 from collections import deque
 from collections.abc import Generator
@@ -46,6 +47,17 @@
 STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
 CROWDED_MS, KEPT_RATE, DENIED = 20000.0, 0.4, 0.25  # none kept idle for fewer a second, or after such a share
 BUCKET_MS, BUCKETS, RAMP = 1000.0, 8, 1.2      # of dials denied; served calls; a cold one gets
+NOTE_MS, WORD_MS = 500.0, 1000.0               # between notes of one sender; a failure told fades by half
+WORDS, WORD_LIMIT = 2.2, 1.5                    # failures told: so many are ill, or hold binding documents
+TRIALS, WORD_PART = 2.0, 0.3                   # trials a second, of all senders; failures told, of usual calls
+DOUBT, DENIAL, SHUT, SERVES, BACK, CROWD = "d", "c", "w", "s", "b", "k"    # what notes tell of an endpoint
+
+
+MARK, LONGEST_TOLD_MS = 6, 30000.0             # letters that stand for an endpoint in notes; most waited
+
+
+def _mark(name: str) -> str:
+    return f"{zlib.crc32(name.encode()) & 0xFFFFFF:0{MARK}x}"
 
 
 class Ring:
@@ -102,11 +114,24 @@
         return 0.0 if self.credit >= 0.999 else (1.0 - self.credit) * 1000.0 / rate
 
 
+class Norm:
+    """What serves for an endpoint that was not met yet: the answer time of all others, a moving average."""
+
+    def __init__(self) -> None:
+        self.ms = 0.0
+
+    def learn(self, ms: float) -> None:
+        self.ms += (ms - self.ms) * (0.05 if self.ms else 1.0)
+
+
 class Endpoint:
     """One endpoint: its calls out and its health."""
 
-    def __init__(self, name: str, zone: str, number: int, now: float) -> None:
-        self.name, self.zone, self.number, self.state = name, zone, number, READY
+    def __init__(self, entry: our.Endpoint, number: int, now: float, norm: Norm) -> None:
+        self.name, self.zone, self.kind = entry.name, entry.zone, entry.kind
+        self.number, self.state = number, READY
+        self.norm, self.word, self.word_at = norm, 0.0, now     # failures lately, here and as told
+        self.note_at = 0.0              # when it may be told of again
         self.calls: list[float] = []    # when each call that is out was sent
         self.idle: list[float] = []     # since when each idle connection lies idle
         self.streak, self.failed_at = 0, now    # failures in a row, and when they began
@@ -122,7 +147,12 @@
     def overdue(self, now: float) -> bool:
         """True if nothing is served and an answer is late; time-outs tell it too late."""
         since = max(self.ok_at, self.calls[0]) if self.calls else now
-        return now - since > max(OVERDUE_MS, OVERDUE * self.usual_ms)
+        return now - since > max(OVERDUE_MS, OVERDUE * (self.usual_ms or self.norm.ms))
+
+    def blame(self, now: float, more: float) -> float:
+        self.word = self.word * 0.5 ** ((now - self.word_at) / WORD_MS) + more
+        self.word_at = now
+        return self.word
 
     def slow(self, now: float) -> bool:
         return self.recent_ms > SLOW * self.usual_ms or self.overdue(now)
@@ -134,8 +164,10 @@
     The pace keeps a sender under a limit shared with others: its share is cut when little room is told or a
     call is refused, and grows back with time; little room slows it at once."""
 
-    def __init__(self, per_call: int, limit: float, now: float) -> None:
+    def __init__(self, destination: Destination, per_call: int, limit: float, now: float) -> None:
+        self.destination = destination
         self.endpoints: list[Endpoint] = []
+        self.out, self.ill_at = 0, now  # calls out; since when it is ill
         self.per_call, self.wait_until, self.refused = per_call, 0.0, 0     # refusals in a row
         self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
@@ -150,6 +182,9 @@
                    min(LEAST_PACE, usual / 2.0))
         return self.meter.wait_ms(now, pace, max(1.0, pace * BURST))
 
+    def troubled(self, now: float) -> bool:
+        return any(ep.state == READY and (ep.ill or ep.slow(now)) for ep in self.endpoints)
+
     def grow(self, now: float, own: float, top: float) -> None:
         self.share = min(top, self.share + own * SHARE_STEP * min(1.0, (now - self.steered_at) / 1000.0))
         self.steered_at = now
@@ -172,18 +207,21 @@
         self.half, self.top = max(1, slots // 2), max(1, slots * 3 // 4)
         self.window, self.tokens = float(self.half), TOKENS
         self.out = self.turn = 0        # calls out; for taking endpoints in turn
+        self.look_at = 0.0              # nothing of its line can go before this
 
     def rate(self, now: float) -> float:
         # documents a second; the sum over all senders is what the destination usually gets
         return max(self.least, self.taken * 1000.0 / max(now - self.since, BUCKETS * BUCKET_MS))
 
+    def usual(self, now: float) -> float:       # for one of its routes
+        return self.rate(now) / max(1, len(self.routes))
+
     def used(self, now: float) -> bool:
         return bool(self.line) or self.out > 0 or any(route.endpoints or now < route.wait_until
                                                       for route in self.routes)
 
     def troubled(self, now: float) -> bool:
-        return any(ep.state == READY and (ep.ill or ep.slow(now))
-                   for route in self.routes for ep in route.endpoints)
+        return any(route.troubled(now) for route in self.routes)
 
 
 class Call:
@@ -233,16 +271,21 @@
         self._types, self._draw = {kind.name: kind for kind in settings.types}, random.Random(seed).uniform
         self._destinations: dict[int, Destination] = {}
         self._endpoints: dict[str, tuple[Route, Endpoint]] = {}
+        self._marks: dict[str, tuple[Route, Endpoint]] = {}     # by what notes call them
+        self._norm = Norm()
         self._held, self._flying, self._keys = {}, {}, {}   # and ended while a transmission is out; by key
         self._ends: list[tuple[float, int, Document]] = []
-        self._order, self._out, self._alarm, self._idle, self._crowded_until = 0, 0, float("inf"), Idle(), 0.0
+        self._order, self._out, self._alarm, self._idle, self._stirred = 0, 0, float("inf"), Idle(), True
+        self._denied, self._crowded_until = {}, {}  # by kind: shares of dials denied; none kept until then
         self._firsts, self._repeats, self._repeats_held = Ring(0.0), Ring(0.0), False
-        self._dialled, self._lying = [], {}         # endpoints called in this turn, with idle connections
-        self._denied = self._busy = self._level = self._turned = 0.0    # shares of dials denied, slots taken
+        self._dialled, self._lying = [], {}         # endpoints called, and idle, since the last turn
+        self._failed: dict[int, Destination] = {}   # with documents that failed before a restart
+        self._busy = self._level = self._turned = 0.0   # shares of slots taken
         self._ask_at = 0.0 if settings.list_on_request else float("inf")
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
         """The list, or changes to it."""
+        self._stirred = True
         if mode == our.FAILED:
             self._ask_at = now + self._draw(0.5, 1.0) * ASK_AGAIN_MS
             return
@@ -252,18 +295,26 @@
         for entry in entries:
             if entry.name not in self._endpoints:
                 self._join(now, entry)
-            self._endpoints[entry.name][1].state = entry.state
+            route, ep = self._endpoints[entry.name]
+            ep.state, route.destination.look_at = entry.state, now
         for name in [name for name, (_, ep) in self._endpoints.items() if ep.state == our.GONE]:
             route, ep = self._endpoints.pop(name)
+            if ep.idle:
+                self._lying[name] = route.destination, ep
+            self._marks.pop(_mark(name), None)
             route.endpoints.remove(ep)
+            if not route.endpoints and len(route.destination.routes) > 1:
+                route.destination.routes.remove(route)
         if len(self._destinations) > len(self._endpoints) + FORGET:
             self._destinations = {each: dest for each, dest in self._destinations.items() if dest.used(now)}
 
     def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
-                 key: str | None, past: our.Past = our.NO_PAST) -> None:
-        self._order += 1
+                 key: str | None, past: our.Past = our.NO_PAST, tenant: str | None = None) -> None:
+        self._order, self._stirred = self._order + 1, True
         dest = self._destination(destination, now)
-        dest.taken, dest.failed = dest.taken + 1, dest.failed + past.failed
+        dest.taken, dest.failed, dest.look_at = dest.taken + 1, dest.failed + past.failed, now
+        if past.failed:
+            self._failed[destination] = dest
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
         if key is not None and doc.kind.in_order:
             if len(self._keys) > len(self._held) + FORGET:
@@ -278,10 +329,11 @@
 
     def outcome(self, now: float, doc_id: str, endpoint: str, outcome: our.Outcome) -> None:
         """How a transmission ended."""
+        self._stirred = True
         doc = self._held.get(doc_id) or self._flying.get(doc_id)
         if doc is None or doc.out is None or outcome.number != doc.sent - 1:
             return
-        call, doc.out = doc.out, None
+        call, doc.out, doc.destination.look_at = doc.out, None, now
         self._flying.pop(doc_id, None)
         call.docs -= 1
         if call.docs == 0:
@@ -306,15 +358,21 @@
         return self._destinations[number]
 
     def withdrawn(self, now: float, doc_id: str) -> None:
+        self._stirred = True
         if doc_id in self._held:
+            self._held[doc_id].destination.look_at = now
             self._end(self._held[doc_id])
 
     def turn(self, now: float) -> None:
         """Ends the events of one time: gives up what is out of reach, then fills the places that are free."""
-        for dest in [each for each in self._destinations.values() if each.failed]:     # before a restart
+        if not self._stirred and now < self._alarm - EARLY_MS:     # only notes came, and they free nothing
+            return
+        self._stirred = False
+        for dest in self._failed.values():          # before a restart
             for ep in [each for route in dest.routes for each in route.endpoints]:
                 ep.ill = dest.failed >= max(STREAK, FAILED_PART * dest.taken)   # down: one call first
             dest.failed = 0
+        self._failed.clear()
         self._busy += (self._level - self._busy) * min(1.0, (now - self._turned) / BUSY_MS)
         self._alarm = self._alarm if now < self._alarm - EARLY_MS else float("inf")
         while self._ends and (self._ends[0][2].over or self._ends[0][0] <= now):
@@ -328,13 +386,13 @@
         self._wake(now, self._ask_at)
         self._make_room(now)
         self._fill(now)
-        least = float("inf") if now < self._crowded_until else KEPT_RATE    # kept by many, they shut others
-        for name in [name for name, (dest, ep) in self._lying.items()       # out
-                     if dest.rate(now) < least or ep.state == our.GONE]:
-            ep = self._lying.pop(name)[1]
-            if ep.idle:
-                self._host.close_idle(name)
+        least = 0.0 if self._set.notes else KEPT_RATE   # kept by many, they shut others out: these tell so
+        for dest, ep in self._lying.values():
+            if ep.idle and (dest.rate(now) < least or now < self._crowded_until.get(ep.kind, 0.0)
+                            or ep.state == our.GONE):
+                self._host.close_idle(ep.name)
                 ep.idle.clear()
+        self._lying.clear()
         if self._ends:
             self._wake(now, self._ends[0][0])
         self._level, self._turned = self._out / self._set.slots, now
@@ -365,6 +423,7 @@
         if isinstance(wish, float):
             doc.ready_at = now + wish
             insort(doc.destination.line, doc, key=lambda each: each.order)
+            doc.destination.look_at = now
             heapq.heappush(self._ends, (self._last_call(doc), doc.order, doc))
         elif wish:
             self._transmit(now, doc, *wish)
@@ -400,7 +459,7 @@
                 self._host.close_idle(ep.name)
                 ep.idle.clear()
             idle_ms = now - ep.idle.pop() if ep.idle else 0.0
-        self._out, dest.out = self._out + 1, dest.out + 1
+        self._out, dest.out, route.out = self._out + 1, dest.out + 1, route.out + 1
         ep.calls.append(now)
         route.trials_out += ep.ill
         for meter in (route.meter, ep.meter):
@@ -409,7 +468,7 @@
 
     def _hang_up(self, now: float, dest: Destination, call: Call, kind: str, kept: bool) -> None:
         """Gives slot, place and connection back."""
-        self._out, dest.out = self._out - 1, dest.out - 1
+        self._out, dest.out, call.route.out = self._out - 1, dest.out - 1, call.route.out - 1
         call.ep.calls.remove(call.sent_at)
         call.route.trials_out -= call.trial
         if kind == our.TIMEOUT:         # the endpoint or the connection? the next new connection tells
@@ -452,8 +511,10 @@
         if self._repeats_held:
             self._wake(now, now + BUCKET_MS)
         for dest in self._destinations.values():
-            if dest.line:
+            if dest.line and now >= dest.look_at - EARLY_MS:
                 self._look(now, dest, best)
+            elif dest.line:
+                self._wake(now, dest.look_at)
         while best:
             number = max(best, key=lambda key: best[key][0] / (best[key][3].recent_ms + CALL_MS) ** 0.5)
             _, doc, route, ep = best.pop(number)
@@ -466,24 +527,30 @@
             ep.call = None
         self._dialled.clear()
 
+    def _later(self, now: float, dest: Destination, when: float) -> None:
+        dest.look_at = min(dest.look_at, when)
+        self._wake(now, when)
+
     def _look(self, now: float, dest: Destination, best: dict[int, tuple]) -> None:
+        dest.look_at = float("inf")
         places = self._places(now, dest)
         if not places:
             return
         found = None
         for doc in dest.line:
             if doc.keyline and doc.keyline.rest_until > now:
-                self._wake(now, doc.keyline.rest_until)
+                self._later(now, dest, doc.keyline.rest_until)
             if doc.ready_at > now:
-                self._wake(now, doc.ready_at)
+                self._later(now, dest, doc.ready_at)
                 continue
+            dest.look_at = now          # it may go as soon as anything changes
             if doc.repeats and (dest.tokens < 1.0 or self._repeats_held):
                 continue
             rank = self._value(now, doc)
             if found and rank <= found[0]:
                 continue
             for route, ep in places:
-                doubtful = ep.doubtful > DOUBT_SHARE or ep.overdue(now)     # it may be lost for good
+                doubtful = ep.doubtful > DOUBT_SHARE or ep.overdue(now) or ep.blame(now, 0.0) > WORD_LIMIT
                 if not (doubtful and doc.kind.effect == BINDING) and not self._barred(now, doc, route, ep):
                     found = rank, doc, route, ep
                     break
@@ -495,29 +562,34 @@
                     if ep.joinable(route)]
         if joinable and not joinable[0][1].ill:
             return joinable
-        window = dest.window
-        if dest.troubled(now):      # several sick destinations must not fill the slots together
-            sick = sum(each.out for each in self._destinations.values() if each.out and each.troubled(now))
-            window = min(window, dest.half) if sick < max(1, int(dest.half * SICK_PART)) else 0.0
-        if self._out >= self._set.slots or dest.out >= int(window):
+        if self._out >= self._set.slots or dest.out >= int(dest.window):
             return []
         places, trials = [], []
         for route in dest.routes:
-            wait_ms = route.wait_ms(now, dest.rate(now))
+            if route.troubled(now) and not self._spares(now, dest):
+                dest.look_at = now
+                continue
+            wait_ms = route.wait_ms(now, dest.usual(now))
             if wait_ms > 0.0:
-                self._wake(now, now + wait_ms)
+                self._later(now, dest, now + wait_ms)
                 continue
             for ep in route.endpoints:
                 if ep.state != READY:
                     continue
                 if ep.ill and now < route.trial_at:
-                    self._wake(now, route.trial_at)
+                    self._later(now, dest, route.trial_at)
                 elif ep.ill and not route.trials_out:
                     trials.append((route, ep))
                 elif not ep.ill and self._ramped(now, dest, route, ep):
                     places.append((len(ep.calls), (ep.number - dest.turn) % 64, route, ep))
         return trials + [place[2:] for place in sorted(places, key=lambda place: place[:2])]
 
+    def _spares(self, now: float, dest: Destination) -> bool:
+        """Several sick destinations must not fill the slots together."""
+        sick = sum(route.out for each in self._destinations.values() if each.out
+                   for route in each.routes if route.out and route.troubled(now))
+        return dest.out < min(dest.window, dest.half) and sick < max(1, int(dest.half * SICK_PART))
+
     def _ramped(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> bool:
         """One that came back is cold: the usual, or its part of the limit, times its share of warmth."""
         warm = 1.0 if ep.back_at is None else (now - ep.back_at) / self._set.warm_up_ms
@@ -526,10 +598,10 @@
             return True
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
         ready = sum(each.state == READY for each in route.endpoints)
-        rate = max(dest.rate(now), route.limit * RAMP / self._set.senders) / ready * share
+        rate = max(dest.usual(now), route.limit * RAMP / self._set.senders) / ready * share
         wait_ms = ep.meter.wait_ms(now, rate, 1.0)
         if wait_ms > 0.0:
-            self._wake(now, now + wait_ms)
+            self._later(now, dest, now + wait_ms)
         return wait_ms <= 0.0
 
     def _make_room(self, now: float) -> None:
@@ -550,16 +622,18 @@
         little = kind == FULL or outcome.limit and route.room < LITTLE_ROOM
         if kind == FULL and not route.limit:
             route.limit = max(route.served.rate(now), route.served.rate(now, 2), LEAST_PACE)
-        own = max(1.0 / self._set.senders, dest.rate(now) / max(route.limit, LEAST_PACE))
+        usual = dest.usual(now)
+        own = max(1.0 / self._set.senders, usual / max(route.limit, LEAST_PACE))
         route.refused = 0 if kind == OK else route.refused + (kind == FULL)
-        rare = route.refused > 1 and dest.rate(now) * STREAK < 2.0  # nothing served, and few calls to tell
+        rare = route.refused > 1 and usual * STREAK < 2.0   # nothing served, and few calls to tell
         own = min(1.0, own * (FEARED_PART if rare else OWN_PART))
         if little:
             route.cut(now, own, 0.5 / self._set.senders)
         elif kind == OK:
             route.grow(now, own, 1.0 if outcome.limit else GUESSED_TOP)
         quick = kind == CONNECT_FAILED and outcome.elapsed_ms < TRIAL_MS
-        self._denied += 0.0 if call.idle_ms else 0.05 * (quick - self._denied)
+        denied = self._denied.get(ep.kind, 0.0)
+        self._denied[ep.kind] = denied + (0.0 if call.idle_ms else 0.05 * (quick - denied))
         if kind == OK:
             self._served(now, dest, route, ep, outcome.elapsed_ms)
             return
@@ -567,7 +641,9 @@
         if kind in (our.RESET, our.TIMEOUT) and self._idle.stale(now, call.idle_ms):
             return                                  # lost with the connection: tells nothing of the endpoint
         if kind == CONNECT_FAILED:                  # a full table denies at once, a silent machine late
-            self._crowded_until = now + CROWDED_MS if quick and self._denied > DENIED else self._crowded_until
+            if quick and denied > DENIED:
+                self._tell(now, ep, CROWD)
+                self._crowded(now, ep.kind)
             if ep.calls and ep.ok_at >= call.sent_at:   # others were served: its connections are taken
                 return
         if kind == FULL:
@@ -576,8 +652,15 @@
         brief = BRIEF * (outcome.elapsed_ms < TRIAL_MS and kind in (our.ERROR, our.RESET, CONNECT_FAILED))
         ep.failing += (0.1 if brief else 0.2) * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
-        enough = STREAK if quick else max(1, min(STREAK, int(dest.rate(now) * STREAK)))
+        enough = STREAK if quick or self._set.notes else max(1, min(STREAK, int(usual * STREAK)))
         enough = brief + (1 if any(other.ill for other in route.endpoints) else enough)
+        if kind != FULL:
+            self._tell(now, ep, DENIAL if kind == CONNECT_FAILED else DOUBT)
+            if self._set.notes and not ep.ill and self._rumoured(now, dest, route, ep):
+                self._falls_ill(now, dest, route, ep, kind)
+                return
+        elif outcome.wait_ms > LONG_WAIT_MS:
+            self._tell(now, ep, f"{SHUT}{int(outcome.wait_ms)}")
         if ep.ill:
             self._await_trial(now, dest, route, route.trial_ms * 2.0)
         elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE) or outcome.wait_ms > \
@@ -585,6 +668,8 @@
             self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
 
     def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Endpoint, why: str) -> None:
+        if not any(each.ill for each in route.endpoints):
+            route.ill_at = now
         for each in route.endpoints:    # a shut destination is shut at all its endpoints
             if each is ep or why == FULL and each.ok_at < ep.failed_at:
                 each.ill, each.back_at = True, None
@@ -593,25 +678,77 @@
 
     def _await_trial(self, now: float, dest: Destination, route: Route, ms: float) -> None:
         route.trial_ms = ms = min(LONGEST_TRIAL_MS, ms)
-        rare_ms = TRIAL_EVERY / dest.rate(now)      # many senders together try no more often than they send
+        rare_ms = TRIAL_EVERY / dest.usual(now)     # many senders together try no more often than they send
+        if self._set.notes:             # what one finds all hear: only those that hold something try, in turn
+            held = dest.usual(now) * (now - route.ill_at + NOTE_MS) / 1000.0
+            rare_ms = min(1.0, held) * self._set.senders * 1000.0 / TRIALS
         route.trial_at = now + (rare_ms if rare_ms > LONGEST_TRIAL_MS else ms) * self._draw(0.3, 1.7)
 
+    # What other senders tell: evidence that is weaker than an outcome, and ages
+
+    def _tell(self, now: float, ep: Endpoint, what: str) -> None:
+        if self._set.notes and now >= ep.note_at and not (ep.ill and what != BACK):
+            ep.note_at = now + NOTE_MS
+            self._host.tell(f"{_mark(ep.name)}{what}")
+
+    def heard(self, now: float, note: str) -> None:
+        """A note from another sender; what cannot be read, or names what is not listed, is skipped."""
+        place, what, ms = self._marks.get(note[:MARK]), note[MARK:MARK + 1], note[MARK + 1:]
+        if place is None:
+            return
+        route, ep = place
+        dest = route.destination
+        if what == SERVES:
+            ep.word = max(0.0, ep.blame(now, -1.0))
+        elif what in (DOUBT, DENIAL):
+            if not ep.ill and self._rumoured(now, dest, route, ep):
+                self._falls_ill(now, dest, route, ep, "told")
+        elif what == SHUT and ms.isdecimal() and not ep.ill:
+            self._falls_ill(now, dest, route, ep, "told")
+            route.trial_at += min(float(ms), LONGEST_TOLD_MS)
+        elif what == CROWD:
+            self._crowded(now, ep.kind)
+        elif what == BACK and ep.ill:
+            self._stirred = True
+            self._back(now, dest, route, ep)
+
+    def _crowded(self, now: float, kind: int) -> None:
+        fresh = now >= self._crowded_until.get(kind, 0.0)
+        self._stirred, self._crowded_until[kind] = True, now + CROWDED_MS
+        for route, ep in self._endpoints.values():
+            if fresh and ep.idle and ep.kind == kind:
+                self._lying[ep.name] = route.destination, ep
+
+    def _rumoured(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> bool:
+        usual = dest.usual(now) * self._set.senders / max(1, len(route.endpoints))
+        return ep.blame(now, 1.0) >= max(WORDS, usual * WORD_PART * WORD_MS / 1000.0)
+
     def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
+        self._norm.learn(ms)
         silent = now - ep.failed_at > OUTAGE_MS and all(each.ok_at < ep.failed_at for each in route.endpoints)
         silent = silent or any(each.ill for each in route.endpoints)    # an outage that few calls here met
         back = ep.ill or ep.streak and silent and len(dest.line) > max(STREAK, LINE * dest.rate(now))
         ep.streak, ep.ok_at, ep.failing, ep.doubtful = 0, now, ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
+        if ep.blame(now, 0.0) > 0.5 and not back:
+            self._tell(now, ep, SERVES)
+        ep.word = max(0.0, ep.word - 1.0)
         if back:
             route.trial_at, route.trial_ms = now, TRIAL_MS
             if not ep.ill or ep.failing <= ILL_SHARE:
-                for each in route.endpoints:    # a sibling that failed and served nothing since is as cold
-                    if each is ep or each.streak and not each.ill:
-                        each.ill, each.back_at, each.meter = False, now, Meter(now, self._draw(0.0, 1.0))
-                self._host.log(f"destination {dest.number}: endpoint back, {dest.rate(now):.2f} documents/s")
+                self._tell(now, ep, BACK)
+                self._back(now, dest, route, ep)
+
+    def _back(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> None:
+        for each in route.endpoints:    # a sibling that failed and served nothing since is as cold
+            if each is ep or each.streak and not each.ill:
+                each.ill, each.back_at, each.word = False, now, 0.0
+                each.meter = Meter(now, self._draw(0.0, 1.0))
+        dest.look_at = now
+        self._host.log(f"destination {dest.number}: endpoint back, {dest.rate(now):.2f} documents/s")
 
     def _patience(self, route: Route, ep: Endpoint, doc: Document) -> float:
         seen = max(ep.usual_ms, ep.recent_ms)
@@ -639,13 +776,13 @@
         dest = self._destination(entry.destination, now)
         if not dest.routes or self._set.routes_apart[entry.kind]:
             rate = entry.rate if self._set.rates_listed else 0.0
-            dest.routes.append(Route(self._set.per_call[entry.kind], rate, now))
+            dest.routes.append(Route(dest, self._set.per_call[entry.kind], rate, now))
         number = sum(len(each.endpoints) for each in dest.routes)
-        route, ep = dest.routes[-1], Endpoint(entry.name, entry.zone, number, now)
+        route, ep = dest.routes[-1], Endpoint(entry, number, now, self._norm)
         ep.ill = any(other.ill for other in route.endpoints)    # a new one beside the sick or cold: no burst
         ep.back_at = max((each.back_at for each in route.endpoints if each.back_at), default=None)
         route.endpoints.append(ep)
-        self._endpoints[entry.name] = route, ep
+        self._endpoints[entry.name] = self._marks[_mark(entry.name)] = route, ep
 
     def _wake(self, now: float, when: float) -> None:
         if when < self._alarm:
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -47,6 +47,9 @@
     cold_share: float
     warm_up_ms: float
     key_rest_ms: float
+    notes: bool                     # whether senders may pass notes to one another
+    quotas: tuple[tuple[str, float], ...]   # of each tenant: documents a second, of all senders, in its share
+    over_share: float               # what a document beyond its tenant's share is still worth, in parts
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +105,8 @@
 
     def subscribe(self) -> None: ...
 
+    def tell(self, note: str) -> None: ...      # to all other senders, where settings permit it
+
     def log(self, text: str) -> None: ...
 
 
@@ -111,10 +116,12 @@
     def endpoints(self, now: float, mode: str, entries: list[Endpoint]) -> None: ...
 
     def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
-                 key: str | None, past: Past = NO_PAST) -> None: ...
+                 key: str | None, past: Past = NO_PAST, tenant: str | None = None) -> None: ...
 
     def outcome(self, now: float, doc_id: str, endpoint: str, outcome: Outcome) -> None: ...
 
     def withdrawn(self, now: float, doc_id: str) -> None: ...
 
+    def heard(self, now: float, note: str) -> None: ...
+
     def turn(self, now: float) -> None: ...
--- a/birchstack/net/config.py
+++ b/birchstack/net/config.py
@@ -20,6 +20,8 @@
 NUMBERS = ("nInstances", "domain.callsOut", "limits.maxOpen", "limits.sendCap", "rules.coldFrom",
            "rules.warmUpMs")            # without these nothing can be decided
 
+NOT_CARRIED = {"limits.mayTell": "notes between senders"}  # what the decisions would use, and sockets lack
+
 
 class ConfigError(Exception):
     """Names the key that is missing or wrong."""
@@ -84,6 +86,10 @@
         for key in ("objectiveMs", "deadlineMs", "importance"):
             if not isinstance(service, dict) or not isinstance(service.get(key), number):
                 raise ConfigError(f"settings.services[{at}].{key}: missing or not a number")
+    for key, what in NOT_CARRIED.items():
+        group, name = key.split(".")
+        if isinstance(words.get(group), dict) and words[group].get(name):
+            raise ConfigError(f"settings.{key}: true, but this sender has no way to carry {what}")
     try:
         decided = settings.decode(words)
     except KeyError as problem:
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -296,6 +296,9 @@
     def subscribe(self) -> None:
         """The watch is always kept, and asked for again by itself."""
 
+    def tell(self, note: str) -> None:
+        """Never asked for: the configuration refuses notes, which have no way to other senders here."""
+
     def log(self, text: str) -> None:
         say(log, text)
 
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -27,9 +27,11 @@
     def __init__(self, endpoints=("a",), **settings):
         words = dict(types=TYPES, slots=8, max_held=50, max_transmissions=6, senders=2,
                      calls_per_connection=1, per_call=(1,), routes_apart=(False,),
-                     halving=False, rates_listed=False, list_on_request=False,
+                     halving=False, rates_listed=False, list_on_request=False, notes=False, quotas=(),
+                     over_share=1.0,
                      retry_after_ms=3000.0, cold_share=0.3, warm_up_ms=10000.0, key_rest_ms=1000.0)
         self.now, self.calls, self.said, self.alarms, self.logs, self.closed = 0.0, [], [], [], [], []
+        self.told = []
         self.number, self.ended, self.outcomes, self.patience = {}, set(), [], []
         self.sender = Sender(our.Settings(**{**words, **settings}), 7, self)
         self.listed(endpoints)
@@ -54,6 +56,9 @@
     def subscribe(self):
         self.said.append(("list", "asked"))
 
+    def tell(self, note):
+        self.told.append(note)
+
     def log(self, text):
         self.logs.append(text)
 
