--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -45,14 +45,16 @@
 CALL_MS, FORGET = 100.0, 64                    # a call takes so long at least; so many empty ones are kept
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
 STALE_SHARE, STALE_FOR_MS = 0.4, 20000.0       # calls reset after such idle time; how long that is believed
-CROWDED_MS, KEPT_RATE, DENIED = 20000.0, 0.4, 0.25  # none kept idle for fewer a second, or after such a share
-BUCKET_MS, BUCKETS, RAMP = 1000.0, 8, 1.2      # of dials denied; served calls; a cold one gets
+TOLD, TOLD_AT_ONCE = 20.0, 3.0                 # notes a second of all senders; of one at once
+CROWDED_MS, KEPT_RATE, DENIED, NOTED_DENIED = 60000.0, 0.4, 0.25, 0.04  # none kept idle for fewer a second,
+BUCKET_MS, BUCKETS, RAMP = 1000.0, 8, 1.2      # or after such a share of dials denied; served calls; a cold one gets
 NOTE_MS, WORD_MS = 500.0, 1000.0               # between notes of one sender; a failure told fades by half
-WORDS, WORD_LIMIT = 2.2, 1.5                    # failures told: so many are ill, or hold binding documents
+WORDS, WORD_LIMIT = 2.2, 1.5                   # failures told: so many are ill, or hold binding documents
 TRIALS, WORD_PART = 2.0, 0.3                   # trials a second, of all senders; failures told, of usual calls
-DOUBT, DENIAL, SHUT, SERVES, BACK, CROWD = "d", "c", "w", "s", "b", "k"    # what notes tell of an endpoint
+DOUBT, DENIAL, SHUT, LIMIT, SERVES, BACK, CROWD = "d", "c", "w", "f", "s", "b", "k"    # what notes tell of an endpoint
 
 
+STALL_MS = 300.0
 MARK, LONGEST_TOLD_MS = 6, 30000.0             # letters that stand for an endpoint in notes; most waited
 
 
@@ -168,18 +170,20 @@
         self.destination = destination
         self.endpoints: list[Endpoint] = []
         self.out, self.ill_at = 0, now  # calls out; since when it is ill
+        self.hold_until = 0.0           # others were refused, and told to wait so long
         self.per_call, self.wait_until, self.refused = per_call, 0.0, 0     # refusals in a row
         self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
         self.room, self.room_at, self.meter, self.served = 1.0, now, Meter(now), Ring(now)
 
-    def wait_ms(self, now: float, usual: float) -> float:
+    def wait_ms(self, now: float, least: float) -> float:
         """How long until a told wait is over and the pace allows the next call."""
-        if now < self.wait_until or not self.limit:
-            return max(0.0, self.wait_until - now)
+        until = max(self.wait_until, self.hold_until)
+        if now < until or not self.limit:
+            return max(0.0, until - now)
         room = self.room if now - self.room_at < ROOM_MS else 1.0
         pace = max(self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)),
-                   min(LEAST_PACE, usual / 2.0))
+                   min(LEAST_PACE, least))
         return self.meter.wait_ms(now, pace, max(1.0, pace * BURST))
 
     def troubled(self, now: float) -> bool:
@@ -272,7 +276,7 @@
         self._destinations: dict[int, Destination] = {}
         self._endpoints: dict[str, tuple[Route, Endpoint]] = {}
         self._marks: dict[str, tuple[Route, Endpoint]] = {}     # by what notes call them
-        self._norm = Norm()
+        self._norm, self._notes = Norm(), Meter(0.0)
         self._held, self._flying, self._keys = {}, {}, {}   # and ended while a transmission is out; by key
         self._ends: list[tuple[float, int, Document]] = []
         self._order, self._out, self._alarm, self._idle, self._stirred = 0, 0, float("inf"), Idle(), True
@@ -569,7 +573,7 @@
             if route.troubled(now) and not self._spares(now, dest):
                 dest.look_at = now
                 continue
-            wait_ms = route.wait_ms(now, dest.usual(now))
+            wait_ms = route.wait_ms(now, dest.usual(now) / 2.0)
             if wait_ms > 0.0:
                 self._later(now, dest, now + wait_ms)
                 continue
@@ -641,9 +645,8 @@
         if kind in (our.RESET, our.TIMEOUT) and self._idle.stale(now, call.idle_ms):
             return                                  # lost with the connection: tells nothing of the endpoint
         if kind == CONNECT_FAILED:                  # a full table denies at once, a silent machine late
-            if quick and denied > DENIED:
-                self._tell(now, ep, CROWD)
-                self._crowded(now, ep.kind)
+            if quick and self._denied[ep.kind] > (NOTED_DENIED if self._set.notes else DENIED):
+                self._crowded(now, ep, True)
             if ep.calls and ep.ok_at >= call.sent_at:   # others were served: its connections are taken
                 return
         if kind == FULL:
@@ -659,8 +662,8 @@
             if self._set.notes and not ep.ill and self._rumoured(now, dest, route, ep):
                 self._falls_ill(now, dest, route, ep, kind)
                 return
-        elif outcome.wait_ms > LONG_WAIT_MS:
-            self._tell(now, ep, f"{SHUT}{int(outcome.wait_ms)}")
+        elif outcome.wait_ms > 0.0 and (outcome.wait_ms > LONG_WAIT_MS or now >= route.hold_until):
+            self._tell(now, ep, f"{SHUT if outcome.wait_ms > LONG_WAIT_MS else LIMIT}{int(outcome.wait_ms)}")
         if ep.ill:
             self._await_trial(now, dest, route, route.trial_ms * 2.0)
         elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE) or outcome.wait_ms > \
@@ -687,14 +690,15 @@
     # What other senders tell: evidence that is weaker than an outcome, and ages
 
     def _tell(self, now: float, ep: Endpoint, what: str) -> None:
-        if self._set.notes and now >= ep.note_at and not (ep.ill and what != BACK):
-            ep.note_at = now + NOTE_MS
+        if self._set.notes and now >= ep.note_at and not (ep.ill and what != BACK) \
+                and not self._notes.wait_ms(now, TOLD / self._set.senders, TOLD_AT_ONCE):
+            ep.note_at, self._notes.credit = now + NOTE_MS, self._notes.credit - 1.0
             self._host.tell(f"{_mark(ep.name)}{what}")
 
     def heard(self, now: float, note: str) -> None:
         """A note from another sender; what cannot be read, or names what is not listed, is skipped."""
         place, what, ms = self._marks.get(note[:MARK]), note[MARK:MARK + 1], note[MARK + 1:]
-        if place is None:
+        if place is None or now > self._alarm + STALL_MS:   # unknown; or it lay there while this sender stood still
             return
         route, ep = place
         dest = route.destination
@@ -707,17 +711,24 @@
             self._falls_ill(now, dest, route, ep, "told")
             route.trial_at += min(float(ms), LONGEST_TOLD_MS)
         elif what == CROWD:
-            self._crowded(now, ep.kind)
+            self._crowded(now, ep, False)
+        elif what == LIMIT and ms.isdecimal():
+            ms = min(float(ms), LONG_WAIT_MS)
+            route.hold_until = max(route.hold_until, now + ms * self._draw(0.0, 1.0))
         elif what == BACK and ep.ill:
             self._stirred = True
             self._back(now, dest, route, ep)
 
-    def _crowded(self, now: float, kind: int) -> None:
-        fresh = now >= self._crowded_until.get(kind, 0.0)
-        self._stirred, self._crowded_until[kind] = True, now + CROWDED_MS
-        for route, ep in self._endpoints.values():
-            if fresh and ep.idle and ep.kind == kind:
-                self._lying[ep.name] = route.destination, ep
+    def _crowded(self, now: float, ep: Endpoint, own: bool) -> None:
+        """Connection tables of this kind are full: none is kept idle there for a while."""
+        if now >= self._crowded_until.get(ep.kind, 0.0):
+            self._stirred = True
+            for route, each in self._endpoints.values():
+                if each.idle and each.kind == ep.kind:
+                    self._lying[each.name] = route.destination, each
+            if own:
+                self._tell(now, ep, CROWD)
+        self._crowded_until[ep.kind] = now + CROWDED_MS
 
     def _rumoured(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> bool:
         usual = dest.usual(now) * self._set.senders / max(1, len(route.endpoints))
