--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -33,7 +33,7 @@
 OVERDUE_MS, OVERDUE = 500.0, 4.0               # so is a call out so long, and so many usual answer times
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint, or the
 TRIAL_EVERY, SICK_PART = 2000.0, 0.5           # usual time of 2 documents; of half the slots for the sick
-SHARE_CUT, SHARE_STEP = 0.8, 0.3               # the share of a limit: cut, and growth a second, in parts that
+SHARE_CUT, SHARE_STEP = 0.6, 0.2               # the share of a limit: cut, and growth a second, in parts that
 OWN_PART, FEARED_PART = 5.0, 0.4               # are so many times an equal part or this sender's usual rate
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
 ROOM_MS, CUT_EVERY_MS = 1000.0, 300.0          # a report of room is believed so long; cuts are no closer
@@ -540,11 +540,11 @@
         places = self._places(now, dest)
         if not places:
             return
-        found = None
+        found, joining = None, places[0][1].joinable(places[0][0])      # a call that leaves takes all it can
         for doc in dest.line:
             if doc.keyline and doc.keyline.rest_until > now:
                 self._later(now, dest, doc.keyline.rest_until)
-            if doc.ready_at > now:
+            if doc.ready_at > now and not joining:
                 self._later(now, dest, doc.ready_at)
                 continue
             dest.look_at = now          # it may go as soon as anything changes
