--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -50,11 +50,11 @@
 BUCKET_MS, BUCKETS, RAMP = 1000.0, 8, 1.2      # or after such a share of dials denied; served calls; a cold one gets
 NOTE_MS, WORD_MS = 500.0, 1000.0               # between notes of one sender; a failure told fades by half
 WORDS, WORD_LIMIT = 2.2, 1.5                   # failures told: so many are ill, or hold binding documents
-TRIALS, WORD_PART = 2.0, 0.3                   # trials a second, of all senders; failures told, of usual calls
+LEAST_TRIALS, TRIAL_PART, WORD_PART = 3.0, 0.1, 0.3     # trials a second, of all senders; of their usual
 DOUBT, DENIAL, SHUT, LIMIT, SERVES, BACK, CROWD = "d", "c", "w", "f", "s", "b", "k"    # what notes tell of an endpoint
 
 
-STALL_MS = 300.0
+STALL_MS, WARM_LEAST_MS, SURE = 300.0, 4000.0, 1.5
 MARK, LONGEST_TOLD_MS = 6, 30000.0             # letters that stand for an endpoint in notes; most waited
 
 
@@ -170,6 +170,7 @@
         self.destination = destination
         self.endpoints: list[Endpoint] = []
         self.out, self.ill_at = 0, now  # calls out; since when it is ill
+        self.away_ms = 0.0              # how long it was ill the last time
         self.hold_until = 0.0           # others were refused, and told to wait so long
         self.per_call, self.wait_until, self.refused = per_call, 0.0, 0     # refusals in a row
         self.trial_at, self.trial_ms, self.trials_out = 0.0, TRIAL_MS, 0
@@ -340,6 +341,8 @@
         call, doc.out, doc.destination.look_at = doc.out, None, now
         self._flying.pop(doc_id, None)
         call.docs -= 1
+        if outcome.wait_ms > 0:
+            call.route.wait_until = max(call.route.wait_until, now + outcome.wait_ms)
         if call.docs == 0:
             self._hang_up(now, doc.destination, call, outcome.kind, outcome.kept)
         if not call.heard and outcome.kind not in (UNSENT, CANCELLED):
@@ -349,8 +352,6 @@
             doc.doubt.append((call.sent_at, call.ep.zone))
             if doc.keyline:
                 doc.keyline.rest_until, doc.keyline.rested_by = now + self._set.key_rest_ms, doc
-        if outcome.wait_ms > 0:
-            call.route.wait_until = max(call.route.wait_until, now + outcome.wait_ms)
         if outcome.over and not doc.over:
             self._end(doc)
         elif not doc.over:
@@ -602,7 +603,10 @@
             return True
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
         ready = sum(each.state == READY for each in route.endpoints)
-        rate = max(dest.usual(now), route.limit * RAMP / self._set.senders) / ready * share
+        rate = max(dest.usual(now), route.limit * RAMP / self._set.senders)
+        if self._set.notes:         # all were told at one time: what waits goes over as long as it was away
+            rate = max(rate, len(dest.line) * 1000.0 / max(route.away_ms, WARM_LEAST_MS)) * SURE
+        rate *= share / ready
         wait_ms = ep.meter.wait_ms(now, rate, 1.0)
         if wait_ms > 0.0:
             self._later(now, dest, now + wait_ms)
@@ -639,7 +643,7 @@
         denied = self._denied.get(ep.kind, 0.0)
         self._denied[ep.kind] = denied + (0.0 if call.idle_ms else 0.05 * (quick - denied))
         if kind == OK:
-            self._served(now, dest, route, ep, outcome.elapsed_ms)
+            self._served(now, dest, call, outcome.elapsed_ms)
             return
         dest.window = max(1.0, dest.window / 2.0)
         if kind in (our.RESET, our.TIMEOUT) and self._idle.stale(now, call.idle_ms):
@@ -681,11 +685,14 @@
 
     def _await_trial(self, now: float, dest: Destination, route: Route, ms: float) -> None:
         route.trial_ms = ms = min(LONGEST_TRIAL_MS, ms)
-        rare_ms = TRIAL_EVERY / dest.usual(now)     # many senders together try no more often than they send
-        if self._set.notes:             # what one finds all hear: only those that hold something try, in turn
-            held = dest.usual(now) * (now - route.ill_at + NOTE_MS) / 1000.0
-            rare_ms = min(1.0, held) * self._set.senders * 1000.0 / TRIALS
-        route.trial_at = now + (rare_ms if rare_ms > LONGEST_TRIAL_MS else ms) * self._draw(0.3, 1.7)
+        usual = dest.usual(now)
+        start, rare_ms = now, TRIAL_EVERY / usual   # many senders together try no more often than they send
+        least = 0.3
+        if self._set.notes:     # what one finds all hear: those that hold something try in turn, from the opening on
+            start, all_of_us = max(now, route.wait_until, route.hold_until), usual * self._set.senders
+            held = min(1.0, usual * (start - route.ill_at + NOTE_MS) / 1000.0) * self._set.senders
+            rare_ms, least = held * 1000.0 / max(LEAST_TRIALS, all_of_us * TRIAL_PART), 0.0
+        route.trial_at = start + (rare_ms if rare_ms > LONGEST_TRIAL_MS else ms) * self._draw(least, 2.0 - least)
 
     # What other senders tell: evidence that is weaker than an outcome, and ages
 
@@ -708,8 +715,9 @@
             if not ep.ill and self._rumoured(now, dest, route, ep):
                 self._falls_ill(now, dest, route, ep, "told")
         elif what == SHUT and ms.isdecimal() and not ep.ill:
-            self._falls_ill(now, dest, route, ep, "told")
-            route.trial_at += min(float(ms), LONGEST_TOLD_MS)
+            route.hold_until = max(route.hold_until, now + min(float(ms), LONGEST_TOLD_MS))
+            ep.failed_at = now
+            self._falls_ill(now, dest, route, ep, FULL)
         elif what == CROWD:
             self._crowded(now, ep, False)
         elif what == LIMIT and ms.isdecimal():
@@ -734,13 +742,15 @@
         usual = dest.usual(now) * self._set.senders / max(1, len(route.endpoints))
         return ep.blame(now, 1.0) >= max(WORDS, usual * WORD_PART * WORD_MS / 1000.0)
 
-    def _served(self, now: float, dest: Destination, route: Route, ep: Endpoint, ms: float) -> None:
+    def _served(self, now: float, dest: Destination, call: Call, ms: float) -> None:
+        route, ep = call.route, call.ep
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
         self._norm.learn(ms)
         silent = now - ep.failed_at > OUTAGE_MS and all(each.ok_at < ep.failed_at for each in route.endpoints)
         silent = silent or any(each.ill for each in route.endpoints)    # an outage that few calls here met
-        back = ep.ill or ep.streak and silent and len(dest.line) > max(STREAK, LINE * dest.rate(now))
+        before = ep.ill and call.sent_at < route.ill_at     # sent before it fell ill: no sign of its return
+        back = ep.ill and not before or ep.streak and silent and len(dest.line) > max(STREAK, LINE * dest.rate(now))
         ep.streak, ep.ok_at, ep.failing, ep.doubtful = 0, now, ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
@@ -754,6 +764,7 @@
                 self._back(now, dest, route, ep)
 
     def _back(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> None:
+        route.away_ms = now - route.ill_at
         for each in route.endpoints:    # a sibling that failed and served nothing since is as cold
             if each is ep or each.streak and not each.ill:
                 each.ill, each.back_at, each.word = False, now, 0.0
