--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -153,8 +153,7 @@
         self._idle = Classes(IDLE_MS, STALE_PART, STALE_SHARE, STALE_FOR_MS)    # resets, by idle time before
         self._crowded_until: dict[int, float] = {}  # by kind: none is kept idle until then
         self._firsts, self._repeats = (Ring(0.0, BUCKET_MS, BUCKETS) for _ in range(2))
-        self._repeats_held = False
-        self._dialled, self._lying = [], {}         # endpoints called, and idle, since the last turn
+        self._dialled, self._lying, self._repeats_held = [], {}, False     # called, and idle, since the last turn
         self._failed: dict[int, Destination] = {}   # with documents that failed before a restart
         self._busy = self._level = self._turned = 0.0   # shares of slots taken
         self._ask_ms = ASK_MS           # not all at one time: the list can answer only so many
@@ -235,6 +234,7 @@
     def _destination(self, number: int, now: float) -> Destination:
         if number not in self._destinations:
             self._destinations[number] = Destination(number, self._set, now)
+            self._destinations[number].turn = int(self._draw(0.0, 12.0))    # many begin at different ones
         return self._destinations[number]
 
     def withdrawn(self, now: float, doc_id: str) -> None:
@@ -450,7 +450,9 @@
                     trials.append(ep)
                 elif not ep.ill and self._ramped(now, dest, route, ep):
                     places.append(ep)
-        return trials + sorted(places, key=lambda ep: (len(ep.calls), (ep.number - dest.turn) % 64))
+        count = sum(len(route.endpoints) for route in dest.routes)      # where a connection lies idle first
+        key = lambda ep: (len(ep.calls), not ep.idle, (ep.number - dest.turn) % count)  # noqa: E731
+        return trials + sorted(places, key=key)
 
     def _spares(self, now: float, dest: Destination) -> bool:
         """Several sick destinations must not fill the slots together."""
@@ -669,11 +671,12 @@
 
     def adopt(self, now: float, settings: our.Settings) -> None:
         """Other settings, for what comes next; what is held, out, told, paid, resting or learnt stays."""
-        self._set, self._stirred = settings, True
+        apart, self._set, self._stirred = self._set.routes_apart, settings, True
         self._types = {kind.name: kind for kind in settings.types}
         for dest in self._destinations.values():
             dest.resize(settings)
-            self._regroup(now, dest)
+            if apart != settings.routes_apart:
+                self._regroup(now, dest)
 
     def _regroup(self, now: float, dest: Destination) -> None:
         eps = [ep for route in dest.routes for ep in route.endpoints]
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -323,7 +323,8 @@
         self._config = dataclasses.replace(self._config, **{name: getattr(fresh, name) for name in RELOADED})
         self._front.types = {kind.name: kind.expiry_ms for kind in fresh.settings.types}
         self._calls.idle_ms, self._calls.dial_ms = fresh.idle_ms, fresh.dial_ms
-        self._happened(self._core.adopt, fresh.settings)
+        if changed:
+            self._happened(self._core.adopt, fresh.settings)
         self._watch.move(fresh.discovery, fresh.kinds)
         self._notices.move(fresh.discovery)
         say(log, "configuration taken over", discovery="{}:{}".format(*fresh.discovery),
