--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -109,13 +109,13 @@
 class Destination:
     """One destination: its line of documents, the bucket for repeats and the window."""
 
-    def __init__(self, number: int, settings: our.Settings, now: float) -> None:
+    def __init__(self, number: int, settings: our.Settings, turn: int, now: float) -> None:
         self.number, self.taken, self.failed, self.since = number, 0, 0, now
         self.routes: list[Route] = []
         self.line: list[Document] = []
         self.window, self.tokens = float("inf"), TOKENS
         self.resize(settings)
-        self.out = self.turn = 0        # calls out; for taking endpoints in turn
+        self.out, self.turn = 0, turn   # calls out; for taking endpoints in turn
 
     def resize(self, settings: our.Settings) -> None:
         slots, self.least = settings.slots, LEAST_TOGETHER / settings.senders
@@ -153,7 +153,7 @@
         self._idle = Classes(IDLE_MS, STALE_PART, STALE_SHARE, STALE_FOR_MS)    # resets, by idle time before
         self._crowded_until: dict[int, float] = {}  # by kind: none is kept idle until then
         self._firsts, self._repeats = (Ring(0.0, BUCKET_MS, BUCKETS) for _ in range(2))
-        self._dialled, self._lying, self._repeats_held = [], {}, False     # called, and idle, since the last turn
+        self._dialled, self._lying, self._repeats_held = [], {}, False  # called, and idle, since a turn
         self._failed: dict[int, Destination] = {}   # with documents that failed before a restart
         self._busy = self._level = self._turned = 0.0   # shares of slots taken
         self._ask_ms = ASK_MS           # not all at one time: the list can answer only so many
@@ -233,8 +233,8 @@
 
     def _destination(self, number: int, now: float) -> Destination:
         if number not in self._destinations:
-            self._destinations[number] = Destination(number, self._set, now)
-            self._destinations[number].turn = int(self._draw(0.0, 12.0))    # many begin at different ones
+            turn = int(self._draw(0.0, 12.0))       # many senders begin at different endpoints
+            self._destinations[number] = Destination(number, self._set, turn, now)
         return self._destinations[number]
 
     def withdrawn(self, now: float, doc_id: str) -> None:
@@ -247,11 +247,10 @@
         if not self._stirred and now < self._alarm - EARLY_MS:     # only notes came, and they free nothing
             return
         self._stirred = False
-        for dest in self._failed.values():          # before a restart
+        for dest in [self._failed.pop(each) for each in [*self._failed]]:      # before a restart
             for ep in [each for route in dest.routes for each in route.endpoints]:
                 ep.ill = dest.failed >= max(STREAK, FAILED_PART * dest.taken)   # down: one call first
             dest.failed = 0
-        self._failed.clear()
         self._busy += (self._level - self._busy) * min(1.0, (now - self._turned) / BUSY_MS)
         self._alarm = self._alarm if now < self._alarm - EARLY_MS else float("inf")
         while self._ends and (self._ends[0][2].over or self._ends[0][0] <= now):
@@ -270,8 +269,7 @@
                 self._host.close_idle(ep.name)
                 ep.idle.clear()
         self._lying.clear()
-        if self._ends:
-            self._wake(now, self._ends[0][0])
+        self._wake(now, self._ends[0][0] if self._ends else float("inf"))
         self._level, self._turned = self._out / self._set.slots, now
 
     # The ordinary path
@@ -451,8 +449,8 @@
                 elif not ep.ill and self._ramped(now, dest, route, ep):
                     places.append(ep)
         count = sum(len(route.endpoints) for route in dest.routes)      # where a connection lies idle first
-        key = lambda ep: (len(ep.calls), not ep.idle, (ep.number - dest.turn) % count)  # noqa: E731
-        return trials + sorted(places, key=key)
+        places.sort(key=lambda ep: (len(ep.calls), not ep.idle, (ep.number - dest.turn) % count))
+        return trials + places
 
     def _spares(self, now: float, dest: Destination) -> bool:
         """Several sick destinations must not fill the slots together."""
@@ -537,8 +535,7 @@
             self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
 
     def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Endpoint, why: str) -> None:
-        if not any(each.ill for each in route.endpoints):
-            route.ill_at = now
+        route.ill_at = route.ill_at if any(each.ill for each in route.endpoints) else now
         for each in route.endpoints:    # a shut destination is shut at all its endpoints
             if each is ep or why == FULL and each.ok_at < ep.failed_at:
                 each.ill, each.back_at = True, None
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -43,6 +43,7 @@
             if story.tries(doc):
                 well = story.calls[-1][1] == "b" or number > 20
                 story.ends(doc, our.OK if well else our.TIMEOUT, 100.0)
+                story.sender._endpoints["b"].idle.clear()   # no connection draws it there
     assert len(story.logs) == 2 and "back" in story.logs[1]
 
 
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -209,3 +209,17 @@
     assert story.tries("d") == 1
     story.at(9000.0)
     assert story.tries("d") == 2 and not story.said
+
+
+def test_many_senders_begin_at_different_endpoints_and_go_where_a_connection_lies():
+    firsts = set()
+    for seed in range(12):
+        story = Story(endpoints=("a", "b"))
+        story.sender = type(story.sender)(story.sender._set, seed, story)
+        story.listed(["a", "b"])
+        for doc in ("d", "e", "f"):
+            story.take(doc)
+            story.ends(doc, our.OK, 50.0)
+        assert len({where for _, where in story.calls}) == 1
+        firsts.add(story.calls[0][1])
+    assert firsts == {"a", "b"}
