--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -632,9 +632,9 @@
 
     def _patience(self, ep: Endpoint, doc: Document) -> float:
         seen = max(ep.usual_ms, ep.recent_ms)
-        scarce = self._out >= self._set.slots * SCARCE
+        scarce = self._out >= self._set.slots * SCARCE and not self._set.notes  # these tell of the silent
         patience = (HASTY if scarce else PATIENCE) * seen if seen else doc.kind.agreed_ms   # none seen yet
-        least = LEAST_PATIENCE_MS * max(LEAST_PART, 1.0 - self._busy)
+        least = LEAST_PATIENCE_MS * (1.0 if self._set.notes else max(LEAST_PART, 1.0 - self._busy))
         patience = max(least, patience, ep.route.trial_ms / 2.0 if ep.ill else 0.0)
         return patience * (1.5 if scarce else 2.0) if doc.kind.effect == BINDING else patience
 
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -223,3 +223,18 @@
         assert len({where for _, where in story.calls}) == 1
         firsts.add(story.calls[0][1])
     assert firsts == {"a", "b"}
+
+
+@pytest.mark.parametrize("notes", [True, False])
+def test_time_outs_shorten_for_scarce_slots_only_where_nobody_tells_of_the_silent(notes):
+    story = Story(notes=notes, slots=4)     # reli-main overload: a slow minute for all ended in time-outs
+    for number in range(2, 7):
+        story.listed([f"z{number}"], our.CHANGES, destination=number)
+    story.take("before", destination=6)
+    story.ends("before", our.OK, 100.0)
+    for number in range(2, 6):
+        story.take(f"d{number}", destination=number)
+    story.at(3000.0)
+    story.ends("d2", our.OK, 0.0)
+    story.take("e", destination=6)
+    assert (story.patience[-1] >= 2000.0) == notes
