--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -144,6 +144,7 @@
         self._set, self._host = settings, host
         self._types, self._draw = {kind.name: kind for kind in settings.types}, random.Random(seed).uniform
         self._destinations: dict[int, Destination] = {}
+        self._begin = int(self._draw(0.0, 64.0))    # many senders begin at different endpoints
         self._endpoints: dict[str, Endpoint] = {}
         self._marks: dict[str, Endpoint] = {}       # by what notes call them
         self._norm, self._notes = Average(NORM_PART), Meter(0.0)    # of answer times; of notes told
@@ -233,8 +234,7 @@
 
     def _destination(self, number: int, now: float) -> Destination:
         if number not in self._destinations:
-            turn = int(self._draw(0.0, 12.0))       # many senders begin at different endpoints
-            self._destinations[number] = Destination(number, self._set, turn, now)
+            self._destinations[number] = Destination(number, self._set, self._begin + number, now)
         return self._destinations[number]
 
     def withdrawn(self, now: float, doc_id: str) -> None:
