--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -48,7 +48,8 @@
     assert not told.list_on_request and not told.rates_listed
     words = {"domain__routesApart": [True], "rules__settleAfterDoubtMs": 100, "registryMode": "on_request",
              "weightSource": "rough", "limits__mayTell": False}
-    told = decode(config(tmp_path, **{f"settings__{key}": value for key, value in words.items()}), {}).settings
+    raw = config(tmp_path, **{f"settings__{key}": value for key, value in words.items()})
+    told = decode(raw, {}).settings
     assert told.routes_apart == (True,) and told.key_rest_ms == 100
     assert told.list_on_request and told.rates_listed and not told.notes
 
