--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -240,3 +240,27 @@
     story.ends("d2", our.OK, 0.0)
     story.take("e", destination=6)
     assert (story.patience[-1] >= 2000.0) == notes
+
+
+def test_a_route_apart_that_returns_is_warmed_up_by_its_own_part_while_its_sibling_serves_as_before():
+    sent = {}
+    for apart in (True, False):
+        story = Story(endpoints=("a",) if not apart else ("a", "b"), routes_apart=(apart,), slots=40)
+        for number in range(40):            # five documents a second, half of them for each route
+            story.take(f"d{number}")
+            story.ends(f"d{number}", our.OK, 100.0)
+        usual = story.sender._destinations[1]
+        sent[apart] = usual.usual(story.now) / usual.rate(story.now)
+    assert sent == {True: 0.5, False: 1.0}
+    story = Story(endpoints=("a", "b"), routes_apart=(True,), slots=40, notes=True)
+    for number in range(8):
+        story.take(f"d{number}")
+        story.ends(f"d{number}", our.OK, 100.0)
+    hears(story, *[A + "f"] * 9)
+    assert "ill" in story.logs[0]
+    hears(story, A + "b")
+    before = len(story.calls)
+    for number in range(12):
+        story.take(f"e{number}")
+    where = [name for _, name in story.calls[before:]]
+    assert where.count("a") <= 1 and where.count("b") >= 3
