An operators' door with ready, drain and undrain; a drained sender sends clients away

Design: net/operators.py, a door of its own on a listener of its own: our http1.Requests over driver.Link, one call a connection, answered in the pass of the loop in which its last byte came; a call has 2 s to come whole, at most 64 connections, a new one cuts the oldest, so a crowd of silent callers holds nobody up. The door only carries out: the sender (Node) is handed a Calls of functions. Also: http1.Request keeps its query; the client listener sets SO_REUSEPORT (needed by the upgrade, harmless alone).

Tests: tests/test_operators.py on loopback - ready, calls that are none (a no, nothing changed), 80 half calls beside a whole one answered in under 0.5 s, a drain with one idle and one half-sent connection.

--- a/birchstack/emulator/virtual.py
+++ b/birchstack/emulator/virtual.py
@@ -69,7 +69,7 @@
     def folder(self, path: str) -> MemoryFolder:
         return self._folder
 
-    async def listen(self, loop: ProcessLoop, where: tuple[str, int], protocol):
+    async def listen(self, loop: ProcessLoop, where: tuple[str, int], protocol, shared: bool = True):
         return await loop.create_server(protocol, *where)
 
     def on_signals(self, loop: ProcessLoop, end, reload) -> None:
--- a/birchstack/net/config.py
+++ b/birchstack/net/config.py
@@ -20,6 +20,7 @@
 NUMBERS = ("nInstances", "domain.callsOut", "limits.maxOpen", "limits.sendCap", "rules.coldFrom",
            "rules.warmUpMs")            # without these nothing can be decided
 
+TOLD = ("name", "listen", "discovery", "state", "ops")    # keys that the environment may say instead
 NOT_CARRIED = {"limits.mayTell": "notes between senders", "limits.probes": "probes",
                "limits.mayDuplicate": "second copies"}     # switches that sockets have no way for
 ONE_ONLY = {"limits.streamsPerConn": "calls on one connection", "domain.perCall": "documents in one call"}
@@ -45,6 +46,7 @@
     kinds: tuple[str, ...]
     known: dict                 # the list as last had, in discovery's form
     settings: Settings
+    ops: tuple[str, int] | None = None      # where operators call; none where neither file nor variable says
 
 
 def _at(raw: object, path: str, kind: type | tuple[type, ...]) -> object:
@@ -121,7 +123,7 @@
     """The configuration; the environment names what the file leaves out."""
     if not isinstance(raw, dict):
         raise ConfigError("the configuration is not an object")
-    told = {key: environment[f"BALANCER_{key.upper()}"] for key in ("name", "listen", "discovery", "state")
+    told = {key: environment[f"BALANCER_{key.upper()}"] for key in TOLD
             if environment.get(f"BALANCER_{key.upper()}")}
     raw = {**raw, **told}
     words, number = _at(raw, "settings", dict), (int, float)
@@ -150,7 +152,8 @@
         disk_bytes=int(_at(raw, "limits.disk_mb", number) * 1_000_000),
         idle_ms=float(_at(raw, "settings.limits.connIdleMs", number)),
         dial_ms=float(_at(raw, "settings.limits.dialTimeoutMs", number)),
-        kinds=tuple(words.get("hostTypes") or ()), known=known, settings=decided)
+        kinds=tuple(words.get("hostTypes") or ()), known=known, settings=decided,
+        ops=_address(raw, "ops") if raw.get("ops") is not None else None)
 
 
 def load(environment: Mapping[str, str] = os.environ, again: bool = False) -> Config:
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -175,13 +175,13 @@
         handed, self._head, self.asked = self._head, None, True
         if isinstance(handed, Handed):
             handed.body, self._body = b"".join(self._body), []
-            self._last = not handed.keep or self._front.closing
+            self._last = not handed.keep or self._front.ending
             self._owed.append(handed)
             self._front.handed(handed)
         elif handed.path not in READY_PATHS:
             self._say(404, close=True)
         else:
-            self._say(503 if self._front.closing else 200, close=not handed.keep or self._front.closing)
+            self._say(503 if self._front.ending else 200, close=not handed.keep or self._front.ending)
 
     def _say(self, status: int, problem: str = "", close: bool = False) -> None:
         if problem:
@@ -229,7 +229,7 @@
         self._clients: dict[Client, None] = {}          # least recently heard of first
         self._leaving: dict[Link, None] = {}            # told their last, not closed yet
         self._server: asyncio.Server | None = None
-        self.time, self.closing, self.counts = loop.time, False, {}
+        self.time, self.closing, self.drained, self.counts = loop.time, False, False, {}
 
     async def open(self, machine: Machine, where: tuple[str, int]) -> None:
         self._server = await machine.listen(self._loop, where, lambda: Link(Client(self)))
@@ -279,12 +279,26 @@
         now = self.time()
         for client in [each for each in self._clients if each.due <= now]:
             client.overdue()
+        self._let_go()                  # one that asked while the door said no
         self._loop.call_later(SWEEP_S, self._sweep)
 
+    @property
+    def ending(self) -> bool:
+        """Clients are sent away: the door says no, and each connection ends with its next answer."""
+        return self.closing or self.drained
+
     def close(self) -> None:
         """Takes no more: idle clients are let go, the others with their next answer."""
         self.closing = True
-        for client in [each for each in self._clients if each.asked and each.idle]:
+        self._let_go()
+
+    def drain(self, drained: bool) -> None:
+        """Sends clients away, or takes them again; what they hand in meanwhile is still taken."""
+        self.drained = drained
+        self._let_go()
+
+    def _let_go(self) -> None:
+        for client in [each for each in self._clients if each.asked and each.idle] if self.ending else []:
             client.flush(close=True)
 
     def shut(self) -> None:
--- a/birchstack/net/http1.py
+++ b/birchstack/net/http1.py
@@ -41,6 +41,7 @@
     path: str
     fields: dict[str, str]
     keep: bool
+    query: str = ""                     # what follows the path's "?", as it came
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,7 +230,8 @@
         self._blank = False
         if "host" not in fields and version == "HTTP/1.1":
             raise Malformed("no host")
-        events.append(Request(method, target.partition("?")[0], fields, self._keeps(version, fields)))
+        path, _, query = target.partition("?")
+        events.append(Request(method, path, fields, self._keeps(version, fields), query))
         self._body(fields, False, events)
 
 
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -82,9 +82,10 @@
         return Folder(path)
 
     async def listen(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int],
-                     protocol: Callable[[], asyncio.BufferedProtocol]) -> asyncio.Server:
+                     protocol: Callable[[], asyncio.BufferedProtocol], shared: bool = True) -> asyncio.Server:
+        """shared: another process of this sender may listen at the same address (SO_REUSEPORT)."""
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
-        door = socket.create_server(where, backlog=BACKLOG, family=family)
+        door = socket.create_server(where, backlog=BACKLOG, family=family, reuse_port=shared)
         server = await loop.create_server(protocol, sock=door, backlog=ACCEPTED)
         door.listen(BACKLOG)            # asyncio has one figure for both
         return server
--- /dev/null
+++ b/birchstack/net/operators.py
@@ -0,0 +1,160 @@
+"""The operators' door: HTTP/1.1 on a listener of its own, one call a connection, answered at once.
+
+Owns the operators' listening socket, its connections and the paths of the calls. Must never decide: what an
+operator asks is carried out by the sender through the Calls it was given, and the figures are what the sender
+counts. A call is answered in the pass of the loop in which its last byte came.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import urllib.parse
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from birchstack.net import http1
+from birchstack.net.driver import Link
+from birchstack.net.log import say
+from birchstack.net.machine import Machine
+
+WHOLE_S = 2.0                           # a call not whole by then is cut; it holds nobody up meanwhile
+MOST = 64                               # connections at once; the oldest is cut for a new one
+BODY = 4096                             # an operator's call brings no more than this
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Yes or no, with a line for who asked."""
+
+    yes: bool
+    text: str = ""
+    status: int = 0                     # another than 200 or 400 where the form says more
+
+    def bytes(self) -> bytes:
+        body = self.text.encode() + (b"" if self.text.endswith("\n") or not self.text else b"\n")
+        return _answer(self.status or (200 if self.yes else 400), body)
+
+
+def _answer(status: int, body: bytes) -> bytes:
+    head = f"HTTP/1.1 {status} {http1.REASONS.get(status, 'Status')}\r\n"
+    fields = f"Content-Type: text/plain; charset=utf-8\r\nContent-Length: {len(body)}\r\n" \
+             "Connection: close\r\n\r\n"
+    return (head + fields).encode("latin-1") + body
+
+
+@dataclass(frozen=True, slots=True)
+class Calls:
+    """What the sender does for each call; ids are those of the list of endpoints."""
+
+    ready: Callable[[], Answer]
+    figures: Callable[[], Answer]
+    disable: Callable[[str], Answer]
+    enable: Callable[[str], Answer]
+    drain: Callable[[], Answer]
+    undrain: Callable[[], Answer]
+
+
+class Caller:
+    """One connection of an operator: one call, its answer, the end."""
+
+    def __init__(self, door: Door) -> None:
+        self._door, self._reader = door, http1.Requests(max_body=BODY)
+        self._head: http1.Request | None = None
+        self.link: Link | None = None
+        self.done = False
+
+    def opened(self, link: Link) -> None:
+        self.link = link
+        self._door.joined(self)
+
+    def received(self, data: memoryview) -> None:
+        if self.done:
+            return
+        try:
+            for event in self._reader.feed(data):
+                if isinstance(event, http1.Request):
+                    self._head = event
+                elif event is http1.END:
+                    self._say(self._door.answer(self._head))
+                    return
+        except http1.Malformed as problem:
+            self._say(Answer(False, f"malformed: {problem}", problem.status))
+
+    def _say(self, answer: Answer) -> None:
+        self.done = True
+        self.link.write(answer.bytes())
+        self._door.left(self)
+        self.link.finish(lambda: None)
+
+    def lost(self) -> None:
+        self.done = True
+        self._door.left(self)
+
+    def cut(self) -> None:
+        self.done = True
+        self._door.left(self)
+        self.link.abort()
+
+
+class Door:
+    """The operators' listener."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, calls: Calls) -> None:
+        self._loop, self._calls = loop, calls
+        self._callers: dict[Caller, float] = {}     # by when each must be whole, oldest first
+        self._server: asyncio.Server | None = None
+        self._sweeping: asyncio.TimerHandle | None = None
+
+    async def open(self, machine: Machine, where: tuple[str, int]) -> None:
+        self._server = await machine.listen(self._loop, where, lambda: Link(Caller(self)), shared=False)
+        self._sweep()
+
+    def joined(self, caller: Caller) -> None:
+        if len(self._callers) >= MOST:          # a crowd of silent ones must not keep the next call out
+            next(iter(self._callers)).cut()
+        self._callers[caller] = self._loop.time() + WHOLE_S
+
+    def left(self, caller: Caller) -> None:
+        self._callers.pop(caller, None)
+
+    def _sweep(self) -> None:
+        now = self._loop.time()
+        for caller in [each for each, due in self._callers.items() if due <= now]:
+            caller.cut()
+        self._sweeping = self._loop.call_later(0.25, self._sweep)
+
+    def answer(self, head: http1.Request) -> Answer:
+        """What a whole call is owed; what is not one of the calls is a no, and changes nothing."""
+        asked = urllib.parse.parse_qs(head.query, keep_blank_values=True)
+        ids = asked.get("id", [])
+        calls = self._calls
+        plain = {("GET", "/ready"): calls.ready, ("GET", "/metrics"): calls.figures,
+                 ("POST", "/drain"): calls.drain, ("POST", "/undrain"): calls.undrain}
+        by_id = {("POST", "/endpoints/disable"): calls.disable, ("POST", "/endpoints/enable"): calls.enable}
+        key = head.method, head.path
+        try:
+            if key in plain:
+                answer = plain[key]()
+            elif key in by_id and len(ids) == 1 and ids[0]:
+                answer = by_id[key](ids[0])
+            elif key in by_id:
+                answer = Answer(False, "id: one endpoint id is wanted")
+            else:
+                answer = Answer(False, f"no such call: {head.method} {head.path}", 404)
+        except Exception:               # a fault of the sender's part must still be answered
+            log.exception("an operator's call failed")
+            answer = Answer(False, "the call failed", 500)
+        if key not in (("GET", "/ready"), ("GET", "/metrics")):
+            say(log, "operator's call", call=f"{head.method} {head.path}", id=",".join(ids) or "-",
+                yes=answer.yes, said=answer.text.splitlines()[0] if answer.text else "")
+        return answer
+
+    def close(self) -> None:
+        if self._server:
+            self._server.close()
+        if self._sweeping:
+            self._sweeping.cancel()
+        for caller in [*self._callers]:
+            caller.cut()
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -21,6 +21,8 @@
 from birchstack.net.log import broken, holds, say
 from birchstack.net.machine import LastingClock, Machine
 from birchstack.net.notices import Notices
+from birchstack.net.operators import Answer, Door
+from birchstack.net.operators import Calls as Asked
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5     # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
@@ -60,6 +62,10 @@
         self._turn_due, self._turned_at = False, 0.0
         self._alarm: asyncio.TimerHandle | None = None
         self._closing_at: float | None = None
+        self._ready = False
+        asked = Asked(self._ready_now, self._figures, self._disable, self._enable, lambda: self._drain(True),
+                      lambda: self._drain(False))
+        self._door = Door(loop, asked) if config.ops else None
         self.ended = loop.create_future()
 
     def clock(self) -> float:
@@ -69,6 +75,8 @@
     async def start(self) -> None:
         """Takes up what is owed, then opens the door."""
         self._machine.on_signals(self._loop, self.close, self.reload)
+        if self._door:
+            await self._door.open(self._machine, self._config.ops)
         self._watch.start(self._config.known)
         now, wall = self.clock(), self._lasting.ms()
         self._answers = {doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)}
@@ -88,6 +96,7 @@
         await self._front.open(self._machine, self._config.listen)
         self._look_for_overdue()
         self._loop.call_later(REPORT_S, self._report)
+        self._ready = True
         say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._zones))
 
     # Events: gathered, and told in one turn
@@ -212,7 +221,7 @@
         self._answers[handed.id] = verdict, wait_ms
         if len(self._answers) > REMEMBERED:
             del self._answers[next(iter(self._answers))]
-        handed.reply(verdict, wait_ms, close=self._closing_at is not None)
+        handed.reply(verdict, wait_ms, close=self._front.ending)
 
     def _settle(self, now: float) -> None:
         """After the turn: the ledger, then the answers, then the calls."""
@@ -304,6 +313,27 @@
     def log(self, text: str) -> None:
         say(log, text)
 
+    # What operators ask: carried out here, and only reported
+
+    def _ready_now(self) -> Answer:
+        if self._closing_at is not None:
+            return Answer(False, "closing", 503)
+        return Answer(True, "ready") if self._ready else Answer(False, "starting", 503)
+
+    def _figures(self) -> Answer:
+        return Answer(False, "not built yet", 501)
+
+    def _disable(self, endpoint: str) -> Answer:
+        return Answer(False, "not built yet", 501)
+
+    def _enable(self, endpoint: str) -> Answer:
+        return Answer(False, "not built yet", 501)
+
+    def _drain(self, drained: bool) -> Answer:
+        """Clients are sent away, and what is held is still sent; the sender stays."""
+        self._front.drain(drained)
+        return Answer(True, "drained" if drained else "serving")
+
     # A new configuration, and the end
 
     def reload(self) -> None:
@@ -365,5 +395,7 @@
         say(log, "closed", owed=len(self._ledger.owed), out=len(self._calls), broken=dict(broken))
         self._watch.stop()
         self._calls.close()
+        if self._door:
+            self._door.close()
         if not self.ended.done():
             self.ended.set_result(None)
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -161,6 +161,7 @@
         self.folder, self.answers, self.calls, self.notices, self.asked = folder, [], [], [], []
         self.status, self.watchers, self.lines, self.connections, self.process = 204, [], [], 0, None
         self.port, self._known, self._limits, self.out, self.most_out = free_port(), known, limits, 0, 0
+        self.ops = free_port()
         self.on_call = lambda: None
 
     async def __aenter__(self):
@@ -183,7 +184,7 @@
     def configured(self, **changes):
         """Writes the sender's configuration file, and tells its path."""
         known = {"rev": 7, "all": True, "targets": [self.entry()] if self._known else []}
-        told = config(self.folder, listen=f"127.0.0.1:{self.port}", known=known,
+        told = config(self.folder, listen=f"127.0.0.1:{self.port}", known=known, ops=f"127.0.0.1:{self.ops}",
                       limits=self._limits, **{"discovery": self.agent, **changes})
         path = self.folder.parent / f"{self.folder.name}.json"
         path.write_text(json.dumps(told))
@@ -225,12 +226,23 @@
 
     async def hand_in(self, *words, **more):
         """Hands one document in over a connection of its own: the answer's status and fields."""
+        return await self.hand_in_raw(post(*words, **more))
+
+    async def hand_in_raw(self, request):
         reader, writer = await self.client()
-        writer.write(post(*words, **more))
+        writer.write(request)
         first, fields, _ = await read_message(reader)
         writer.close()
         return int(first.split()[1]), fields
 
+    async def operator(self, method, target, port=None):
+        """One call at the operators' door: its status and body."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", port or self.ops)
+        writer.write(f"{method} {target} HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\n\r\n".encode())
+        first, _, body = await read_message(reader)
+        writer.close()
+        return int(first.split()[1]), body.decode()
+
     async def until(self, condition, within=4.0):
         for _ in range(int(within / 0.01)):
             if condition():
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,76 @@
+"""The operators' door of the real sender, on loopback: each call, what it does, and what it leaves alone."""
+
+import asyncio
+
+from fake import World, post, read_message
+
+
+def play(folder, story, **words):
+    async def whole():
+        (folder / "state").mkdir()
+        async with World(folder / "state", **words) as world:
+            await asyncio.wait_for(story(world), 20.0)
+    asyncio.run(whole())
+
+
+async def up(world):
+    status, _ = await world.hand_in_raw(b"GET /up HTTP/1.1\r\nHost: api\r\nConnection: close\r\n\r\n")
+    return status
+
+
+def test_ready_says_yes_once_the_door_is_open(tmp_path):
+    async def story(world):
+        assert await world.operator("GET", "/ready") == (200, "ready\n")
+    play(tmp_path, story)
+
+
+def test_a_call_that_is_none_of_the_operators_is_a_no_that_changes_nothing(tmp_path):
+    async def story(world):
+        for method, target in [("GET", "/drain"), ("POST", "/nothing"), ("DELETE", "/ready")]:
+            status, _ = await world.operator(method, target)
+            assert 400 <= status < 500
+        assert await up(world) == 200
+        reader, writer = await asyncio.open_connection("127.0.0.1", world.ops)
+        writer.write(b"\x00\x01 not http\r\n\r\n")
+        first, _, _ = await read_message(reader)
+        assert first.startswith("HTTP/1.1 400")
+        assert await up(world) == 200
+    play(tmp_path, story)
+
+
+def test_a_caller_that_holds_its_connection_does_not_hold_up_another(tmp_path):
+    async def story(world):
+        held = []
+        for _ in range(80):             # more than the door keeps at once, each with half a call
+            _, writer = await asyncio.open_connection("127.0.0.1", world.ops)
+            writer.write(b"GET /ready HTTP/1.1\r\nHost:")
+            held.append(writer)
+        began = asyncio.get_running_loop().time()
+        assert await world.operator("GET", "/ready") == (200, "ready\n")
+        assert asyncio.get_running_loop().time() - began < 0.5
+        for writer in held:
+            writer.close()
+    play(tmp_path, story)
+
+
+def test_a_drain_sends_clients_away_and_still_takes_what_comes_on_an_open_connection(tmp_path):
+    async def story(world):
+        idle_reader, idle_writer = await world.client()   # has asked once, and lies idle
+        idle_writer.write(post("d0"))
+        assert (await read_message(idle_reader))[0].startswith("HTTP/1.1 202")
+        busy_reader, busy_writer = await world.client()
+        busy_writer.write(post("d1")[:20])                  # in the middle of a request
+        assert await world.operator("POST", "/drain") == (200, "drained\n")
+        assert await up(world) == 503
+        assert await asyncio.wait_for(idle_reader.read(), 1.0) == b""     # let go at once
+        busy_writer.write(post("d1")[20:])
+        first, fields, _ = await read_message(busy_reader)
+        assert first.startswith("HTTP/1.1 202") and fields["connection"] == "close"
+        assert await asyncio.wait_for(busy_reader.read(), 1.0) == b""
+        assert await world.until(lambda: {"d0", "d1"} <= {doc for doc, _, _ in world.calls})
+        assert world.process.returncode is None
+        assert await world.operator("POST", "/undrain") == (200, "serving\n")
+        assert await up(world) == 200
+        status, fields = await world.hand_in("d2")
+        assert status == 202 and "connection" not in fields
+    play(tmp_path, story)
