An upgrade no longer crashes: the folder's lock says which process sends

Ruled out: configuration (the second read it whole), memory and descriptors (23 MB, 138 of 384). At fault: machine.listen (no SO_REUSEPORT) and Ledger.__init__ / Node.__init__, which took the folder as their own.

Design: the folder has a lock (flock on "lock", held until the process ends, SIGKILL too). The process that gets it sends, as before. SIGTERM to the one that holds it, with such a file in the folder, hands over: it stops listening at once, starts no call, still takes what comes on open connections, and ends when its calls and clients are done. The one that waits asks for the lock every 50 ms; with it, a Ledger replays both files as one (the waiting ones first, the folder's own last, so a crash within the take-over leaves the later lines to win), new decisions hear the lists seen meanwhile and all that is owed, as after a restart. Not chosen: both processes sending during the overlap with half the slots each (limits, told waits and warmth would have to pass between them, and a document held by the old one could be sent again by the new one); handing documents over by a socket between the two (the platform has no such way, and the folder already is one).

--- a/birchstack/emulator/folder.py
+++ b/birchstack/emulator/folder.py
@@ -61,6 +61,10 @@
     def names(self) -> list[str]:
         return list(self._disk.files)
 
+    def lock(self, name: str) -> bool:
+        """One process at a time lives on a disk here."""
+        return True
+
     def read(self, name: str) -> bytes:
         try:
             return bytes(self._disk.files[name])
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -17,6 +17,8 @@
 from birchstack.net.machine import Folder
 
 FILE = "ledger"
+WAITING = "ledger-next-"        # the file of a process that waits while another holds the folder
+APART = 1 << 32                 # its bodies are numbered so far above all there are
 BLOCK = 512
 LINE = 512                      # room kept for what is still to be written of one document
 GROWN = 131072                  # the file is written anew when it is so long and mostly past
@@ -50,13 +52,25 @@
 class Ledger:
     """owed is the truth of the moment, in the order taken; every change is on disk before it returns."""
 
-    def __init__(self, folder: Folder, limit: int) -> None:
+    def __init__(self, folder: Folder, limit: int, waiting: str = "") -> None:
+        """waiting: the name that sets this process apart, where another process holds the folder and sends.
+
+        A process that waits writes its own file and bodies, in a quarter of the room, and reads nothing of
+        the other's. The process that holds the folder takes up at its start the files of all that waited, as
+        its own. Guards against two processes that send the same documents, or write one file. May hurt where
+        the one that holds the folder fills it: the quarter is not kept free for the one that waits."""
         self._folder, self._limit = folder, limit - 4 * 4096    # the folder itself may count
         self.owed: dict[str, Owed] = {}
         self.ended: dict[str, None] = {}        # ended before the start; the file still told of them
         self._bodies = self._size = self._next = 0
-        self._file = -1
-        self._recover()
+        self._file, self._name = -1, FILE
+        if waiting:
+            self._name, self._limit = WAITING + waiting, self._limit // 4
+            numbers = [each[5:] for each in folder.names() if each.startswith("body-")]
+            self._next = max((int(each) for each in numbers if each.isdecimal()), default=0) + APART
+            self._file = folder.open(self._name, fresh=True)
+        else:
+            self._recover()
 
     # What happens
 
@@ -164,31 +178,34 @@
         words = [self._taken(owed), ["past", owed.id, owed.sent, owed.failed, owed.out, owed.doubt]]
         return words + ([["notice", owed.id, *owed.notice]] if owed.notice else [])
 
-    def compact(self) -> None:
+    def compact(self) -> bool:
         """Writes the file anew with only what is owed; until the new one has its name the old one counts."""
         text = b"".join(self._line(words) for owed in self.owed.values() for words in self._lines_of(owed))
         fresh = -1
         try:
-            fresh = self._folder.open(FILE + ".new", fresh=True)
+            fresh = self._folder.open(self._name + ".new", fresh=True)
             if self._folder.append(fresh, text) < len(text):
                 raise OSError("no room for the new ledger")
-            self._folder.rename(FILE + ".new", FILE)
+            self._folder.rename(self._name + ".new", self._name)
         except OSError as problem:
             if fresh >= 0:
                 self._folder.close(fresh)
             self._size = 0              # tried again when as much has been written once more
             say(log, "not compacted", logging.ERROR, problem=problem)
-            return
+            return False
         self._folder.close(self._file)
         self._file, self._size = fresh, len(text)
+        return True
 
     # At the start
 
     def _recover(self) -> None:
-        try:
-            lines = self._folder.read(FILE).split(b"\n")
-        except FileNotFoundError:
-            lines = []
+        """Those that waited first: where the folder's own file has their lines too, it was written later."""
+        waited = sorted(name for name in self._folder.names() if name.startswith(WAITING) and "." not in name)
+        lines = []
+        for name in [*waited, FILE]:
+            with contextlib.suppress(FileNotFoundError):
+                lines += self._folder.read(name).split(b"\n")
         torn = 0
         for line in filter(None, lines):
             try:
@@ -203,7 +220,9 @@
                 owed.out = None
         self._load_bodies()
         self._file = self._folder.open(FILE)
-        self.compact()
+        for name in waited if self.compact() else []:     # theirs is in the folder's own file now
+            with contextlib.suppress(OSError):
+                self._folder.unlink(name)
         if lines:
             say(log, "recovered", owed=len(self.owed), torn=torn)
 
@@ -244,6 +263,6 @@
                 say(log, "body lost", logging.ERROR, doc=owed.id)
                 owed.size, owed.body, owed.notice = 0, b"", ("dead", 0.0)
         for name in self._folder.names():
-            if name.startswith("body-") and name not in wanted or name == FILE + ".new":
+            if name.startswith("body-") and name not in wanted or name.endswith(".new"):
                 with contextlib.suppress(OSError):
                     self._folder.unlink(name)
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import contextlib
+import errno
+import fcntl
 import os
 import signal
 import socket
@@ -24,6 +26,20 @@
 
     def __init__(self, path: str) -> None:
         self._path = path
+        self._locks: list[int] = []
+
+    def lock(self, name: str) -> bool:
+        """True if this process holds the lock of that name from now until it ends; False while another does.
+        Where the system has no such locks, every process holds it, as if it were alone."""
+        handle = os.open(self._at(name), os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as problem:
+            if problem.errno in (errno.EWOULDBLOCK, errno.EAGAIN):
+                os.close(handle)
+                return False
+        self._locks.append(handle)      # the lock ends with the process, however it ends
+        return True
 
     def _at(self, name: str) -> str:
         return os.path.join(self._path, name)
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -17,7 +17,7 @@
 from birchstack.net.config import Config, ConfigError, load
 from birchstack.net.discovery import Watch
 from birchstack.net.front import ABANDONED, CLOSED, REJECTED, TAKEN, Front, Handed
-from birchstack.net.ledger import Ledger
+from birchstack.net.ledger import WAITING, Ledger
 from birchstack.net.log import broken, holds, say
 from birchstack.net.machine import LastingClock, Machine
 from birchstack.net.notices import Notices
@@ -30,6 +30,7 @@
 CLIENTS_SHARE, OTHERS = 40, 64  # of the descriptors, in hundredths; and what is no client and no call
 RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds")    # at SIGHUP
 REMEMBERED = 4096               # answers kept for ids that come again
+LOCK, LOOK_S = "lock", 0.05     # held by the process that sends from the folder; asked for so often meanwhile
 log = logging.getLogger(__name__)
 
 
@@ -40,10 +41,11 @@
                  machine: Machine | None = None) -> None:
         self._config, self._loop, self._began = config, loop, loop.time()
         self._machine = machine or Machine()
-        folder = self._machine.folder(config.state)
+        folder = self._folder = self._machine.folder(config.state)
         self._lasting = LastingClock(self._machine, folder)
         self._core = Sender(config.settings, config.seed, self)
-        self._ledger = Ledger(folder, config.disk_bytes)
+        self._holds = folder.lock(LOCK)         # else another process of this sender holds it, and sends
+        self._ledger = Ledger(folder, config.disk_bytes, "" if self._holds else f"{config.seed:x}")
         clients = config.sockets * CLIENTS_SHARE // 100
         idle = max(8, config.sockets - clients - OTHERS - config.settings.slots)
         self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, idle, self._delivered,
@@ -62,7 +64,8 @@
         self._turn_due, self._turned_at = False, 0.0
         self._alarm: asyncio.TimerHandle | None = None
         self._closing_at: float | None = None
-        self._ready = False
+        self._ready = self._handing = False     # handing: another process waits to send what this one holds
+        self._unheard: list[tuple[str, list]] = []  # lists, while another process holds the folder
         asked = Asked(self._ready_now, self._figures, self._disable, self._enable, lambda: self._drain(True),
                       lambda: self._drain(False))
         self._door = Door(loop, asked) if config.ops else None
@@ -78,8 +81,23 @@
         if self._door:
             await self._door.open(self._machine, self._config.ops)
         self._watch.start(self._config.known)
+        self._take_up()
+        self._turn()
+        await self._front.open(self._machine, self._config.listen)
+        self._look_for_overdue()
+        self._loop.call_later(REPORT_S, self._report)
+        self._ready = True
+        if not self._holds:
+            self._loop.call_later(LOOK_S, self._wait_for_the_folder)
+        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._zones),
+            holds=self._holds)
+
+    def _take_up(self) -> None:
+        """What the folder owes goes to the decisions."""
         now, wall = self.clock(), self._lasting.ms()
-        self._answers = {doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)}
+        self._answers.update({doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)})
+        while len(self._answers) > REMEMBERED:
+            del self._answers[next(iter(self._answers))]
         for owed in [*self._ledger.owed.values()]:
             owed.due = now + owed.expiry - wall
             if owed.notice:
@@ -92,12 +110,29 @@
             past = our.Past(owed.sent, owed.failed, doubt)
             self._inbox.append((self._core.document, owed.id, owed.destination, owed.type,
                                 owed.expiry - wall, owed.key, past))
-        self._turn()
-        await self._front.open(self._machine, self._config.listen)
-        self._look_for_overdue()
-        self._loop.call_later(REPORT_S, self._report)
-        self._ready = True
-        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._zones))
+
+    def _wait_for_the_folder(self) -> None:
+        """Another process of this sender holds the folder: this one takes documents on and sends nothing.
+
+        Guards against two processes that send one document, or keep two views of one endpoint's limits, while
+        one replaces the other (an upgrade). When the other has ended, however it ended, the lock is free: its
+        file and this one's are taken up as after a restart, by decisions that start anew with the lists seen
+        meanwhile. Also covers a start beside a process that hangs. May hurt: what comes meanwhile waits until
+        the other ends, up to its last call's patience."""
+        if self._closing_at is not None or not self._folder.lock(LOCK):
+            if self._closing_at is None:
+                self._loop.call_later(LOOK_S, self._wait_for_the_folder)
+            return
+        self._turn()                            # what came so far, under the file of the wait
+        self._ledger.close()
+        self._ledger = Ledger(self._folder, self._config.disk_bytes)
+        self._core, self._holds = Sender(self._config.settings, self._config.seed, self), True
+        for mode, listed in self._unheard:
+            self._inbox.append((self._core.endpoints, mode, listed))
+        self._unheard.clear()
+        self._take_up()
+        say(log, "holds the folder", owed=len(self._ledger.owed))
+        self._soon()
 
     # Events: gathered, and told in one turn
 
@@ -135,7 +170,12 @@
                 self._kinds.pop(entry.name, None)
         while len(self._destinations) > max(REMEMBERED, len(self._zones)):
             del self._destinations[next(iter(self._destinations))]
-        self._happened(self._core.endpoints, mode, [entry for entry, _ in listed])
+        if self._holds:
+            self._happened(self._core.endpoints, mode, [entry for entry, _ in listed])
+            return
+        if mode == our.WHOLE:                   # the decisions will hear of them when this process sends
+            self._unheard.clear()
+        self._unheard.append((mode, [entry for entry, _ in listed]))
 
     def _delivered(self, call: Call) -> None:
         """The first line of an answer says so; the rest of it cannot change that."""
@@ -170,7 +210,7 @@
                 self._take_on(now, *words)
             else:
                 self._guarded(tell, now, *words)
-        if self._closing_at is None or self._loop.time() < self._closing_at + CALL_S:
+        if self._closing_at is None or not self._handing and self._loop.time() < self._closing_at + CALL_S:
             self._guarded(self._core.turn, now)
             self._turned_at = now
         self._settle(now)
@@ -206,7 +246,7 @@
             self._fresh[handed.id].again.append(handed)
         elif handed.id in self._answers:
             handed.reply(*self._answers[handed.id])
-        elif self._closing_at is not None or not self._ledger.fits(
+        elif self._closing_at is not None and not self._handing or not self._ledger.fits(
                 [len(handed.body), *(len(each.body) for each in self._fresh.values())]):
             self._answer(handed, CLOSED, advice_ms)
         else:
@@ -381,14 +421,22 @@
         if self._closing_at is not None:
             return
         self._closing_at = self._loop.time()
-        say(log, "closing", owed=len(self._ledger.owed), out=len(self._calls))
+        try:
+            self._handing = self._holds and any(name.startswith(WAITING) for name in self._folder.names())
+        except OSError:
+            self._handing = False
+        say(log, "closing", owed=len(self._ledger.owed), out=len(self._calls), handing=self._handing)
         self._front.close()
-        self._loop.call_later(LISTEN_S, self._front.shut)
-        self._loop.call_later(LISTEN_S, self._maybe_over)
+        self._loop.call_later(0.0 if self._handing else LISTEN_S, self._front.shut)
+        self._loop.call_later(0.0 if self._handing else LISTEN_S, self._maybe_over)
 
     def _maybe_over(self) -> None:
+        """Another process that waits gets what is held at once: only calls out and clients are waited for."""
         past = self._loop.time() - self._closing_at
-        busy = self._ledger.owed if past < CALL_S else len(self._calls) or len(self._notices)
+        if self._handing:
+            busy = len(self._calls) or len(self._front)
+        else:
+            busy = self._ledger.owed if past < CALL_S else len(self._calls) or len(self._notices)
         if busy and past < END_S:
             self._loop.call_later(0.05, self._maybe_over)
             return
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -211,6 +211,21 @@
             await asyncio.sleep(0.02)
         raise AssertionError("not ready")
 
+    async def beside(self):
+        """Starts the sender once more beside the one that runs, as an upgrade does: same configuration and
+        folder, another operators' door. Returns the process and that door's port once it says it is ready."""
+        ops = free_port()
+        told = {"BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent,
+                "BALANCER_OPS": f"127.0.0.1:{ops}"}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log())
+        for _ in range(200):
+            with contextlib.suppress(OSError):
+                if (await self.operator("GET", "/ready", ops))[0] == 200:
+                    return process, ops
+            await asyncio.sleep(0.02)
+        raise AssertionError("not ready")
+
     def _log(self):
         return (self.folder.parent / f"{self.folder.name}.log").open("ab")
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,8 +1,10 @@
 """The operators' door of the real sender, on loopback: each call, what it does, and what it leaves alone."""
 
 import asyncio
+import contextlib
+import signal
 
-from fake import World, post, read_message
+from fake import OK_200, World, post, read_message
 
 
 def play(folder, story, **words):
@@ -74,3 +76,39 @@
         status, fields = await world.hand_in("d2")
         assert status == 202 and "connection" not in fields
     play(tmp_path, story)
+
+
+# Replacing the process
+
+def test_an_upgrade_under_load_gives_each_document_one_end_and_sends_none_twice(tmp_path):
+    async def story(world):
+        taken, stop = [], asyncio.Event()
+        world.answers = [[b""] * 5 + [OK_200]] * 10000      # each answer takes 0.1 s: calls are out
+
+        async def clients():
+            number = 0
+            while not stop.is_set():
+                number += 1
+                with contextlib.suppress(OSError, TypeError):
+                    status, _ = await world.hand_in(f"u{number}")
+                    if status == 202:
+                        taken.append(f"u{number}")
+                await asyncio.sleep(0.03)
+        load = asyncio.create_task(clients())
+        await asyncio.sleep(0.5)
+        second, ops = await world.beside()
+        assert taken
+        first = world.process
+        world.process = second          # the one that the world ends at last
+        first.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(first.wait(), 4.0) == 0
+        await asyncio.sleep(0.5)
+        stop.set()
+        await load
+        assert await world.operator("GET", "/ready", ops) == (200, "ready\n")
+        ended = lambda: {doc for doc, _, _ in world.calls} | {each["ref"] for each in world.notices}  # noqa: E731
+        assert await world.until(lambda: set(taken) <= ended(), 8.0)
+        called = [doc for doc, _, _ in world.calls]
+        assert len(called) == len(set(called)), "a document was sent twice"
+        assert "holds the folder" in world.log() and "handing=True" in world.log()
+    play(tmp_path, story)
