Figures at /metrics, endpoints out by hand, and a cold return after a drain

Design: - Figures: the Node counts in the project's words (delivered, refused, failed by type; transmitted by Calls; held, listed, avoided, reloads), net/operators.Figures writes them in the operators' form (ok, shed, errors, tries, active, pool_size, pool_ejected, config_applied/rejected). What the decisions avoid comes from them: Sender.avoided(), ready endpoints that get only trials. Not chosen: the host guessing illness from the log lines of the decisions, or from outcomes it sees (a second judge of health beside the module). - Out by hand: a set of ids in the folder (out-by-hand, written whole and renamed before the yes), read at the start and again when a waiting process takes the folder. Entries told to the decisions pass _as_told: a ready one out by hand is told as draining, whatever discovery says; a call in or out is told at once as a change. Not chosen: a new event in interface.Events for "out by hand" - draining is what the rule says it is, and the module already keeps draining endpoints free of anything new. - Back is cold: decide.endpoints starts the ramp (back_at) of an endpoint that goes from draining to ready. Not chosen: every state change (a whole list marks all as gone first, and would make each listed endpoint cold).

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -61,9 +61,6 @@
         since = max(self.ok_at, self.calls[0]) if self.calls else now
         return now - since > max(OVERDUE_MS, OVERDUE * (self.usual_ms or self.norm.value))
 
-    def slow(self, now: float) -> bool:
-        return self.recent_ms > SLOW * self.usual_ms or self.overdue(now)
-
 
 class Route:
     """What shares a limit, told waits and outages: a destination, or one endpoint where routes are apart.
@@ -92,12 +89,12 @@
         return self.meter.wait_ms(now, pace, max(1.0, pace * BURST))
 
     def troubled(self, now: float) -> bool:
-        return any(ep.state == READY and (ep.ill or ep.slow(now)) for ep in self.endpoints)
+        return any(ep.state == READY and (ep.ill or ep.recent_ms > SLOW * ep.usual_ms or ep.overdue(now))
+                   for ep in self.endpoints)        # ill, slow or late
 
     def grow(self, now: float, own: float, top: float) -> None:
         step = own * (STEP + STEP_ALONE * own) * min(1.0, (now - self.steered_at) / 1000.0)
-        self.share = min(top, self.share + step)
-        self.steered_at = now
+        self.share, self.steered_at = min(top, self.share + step), now
 
     def cut(self, now: float, own: float, least: float) -> None:
         self.steered_at = now
@@ -122,8 +119,7 @@
         self.half, self.top = max(1, slots // 2), max(1, slots * 3 // 4)
         self.window = float(self.half) if self.window > 1e9 else min(self.window, float(self.top))
 
-    def rate(self, now: float) -> float:
-        # documents a second; the sum over all senders is what the destination usually gets
+    def rate(self, now: float) -> float:    # documents a second; of all senders, what it usually gets
         return max(self.least, self.taken * 1000.0 / max(now - self.since, BUCKETS * BUCKET_MS))
 
     def usual(self, now: float) -> float:       # for one of its routes
@@ -161,7 +157,7 @@
         self._ask_at = self._draw(0.0, ASK_MS) if settings.list_on_request else float("inf")
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
-        """The list, or changes to it."""
+        """The list, or changes to it; one that is ready again after a drain, or out by hand, is cold."""
         self._stirred = True
         if mode == our.FAILED:
             self._ask_ms = min(LONGEST_ASK_MS, self._ask_ms * 2.0)
@@ -177,6 +173,8 @@
             if ep.kind != entry.kind:               # known of late: other settings
                 ep.kind = entry.kind
                 self._regroup(now, ep.route.destination)
+            if ep.state == our.DRAINING and entry.state == READY:   # a whole list tells no return
+                ep.back_at = now
             ep.state = entry.state
         for ep in [ep for ep in self._endpoints.values() if ep.state == our.GONE]:
             del self._endpoints[ep.name]
@@ -237,6 +235,9 @@
             self._destinations[number] = Destination(number, self._set, self._begin + number, now)
         return self._destinations[number]
 
+    def avoided(self) -> list[str]:     # for the figures: listed as ready, yet only trials go there
+        return [ep.name for ep in self._endpoints.values() if ep.ill and ep.state == READY]
+
     def withdrawn(self, now: float, doc_id: str) -> None:
         self._stirred = True
         if doc_id in self._held:
@@ -352,8 +353,7 @@
             if kind == OK and not call.idle_ms:
                 self._idle.learn(now, call.ep.blamed, True)
                 call.ep.blamed = 0.0
-        kept = kept and kind in (OK, our.ERROR, FULL)
-        if kept and len(call.ep.calls) % self._set.calls_per_connection == 0:
+        if kept and kind in (OK, our.ERROR, FULL) and not len(call.ep.calls) % self._set.calls_per_connection:
             call.ep.idle.append(now)
             self._lying[call.ep.name] = call.ep
 
--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -107,6 +107,7 @@
         host = f"{self.where[0]}:{self.where[1]}"
         self._sent = True
         self._link.write(http1.request("POST", PATH, host, fields, call.body))
+        self._calls.transmitted += 1
 
     # What the link tells
 
@@ -197,7 +198,7 @@
         self.loop, self._clock, self.idle_ms, self.dial_ms = loop, clock, idle_ms, dial_ms
         self._most_idle, self.delivered, self._told = most_idle, delivered, told
         self.addresses: dict[str, tuple[str, int]] = {}
-        self._spoilt = 0
+        self._spoilt = self.transmitted = 0     # transmitted: written whole to endpoints, for the figures
         self._idle: dict[Line, None] = {}               # oldest first
         self._busy: dict[str, Line] = {}                # by document
 
--- a/birchstack/net/operators.py
+++ b/birchstack/net/operators.py
@@ -21,6 +21,7 @@
 WHOLE_S = 2.0                           # a call not whole by then is cut; it holds nobody up meanwhile
 MOST = 64                               # connections at once; the oldest is cut for a new one
 BODY = 4096                             # an operator's call brings no more than this
+PREFIX = "balancer"                     # of the names of the figures
 log = logging.getLogger(__name__)
 
 
@@ -44,12 +45,34 @@
     return (head + fields).encode("latin-1") + body
 
 
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What a sender counts from its start, in the project's words; by_type: delivered, refused, failed."""
+
+    by_type: dict[str, tuple[int, int, int]]
+    transmitted: int                    # written whole to endpoints
+    held: int                           # taken on, and not ended
+    listed: int                         # endpoints in the list
+    avoided: int                        # of those, out by hand or avoided by the decisions
+    reloads: tuple[int, int]            # configurations taken over, and not taken over
+
+    def text(self) -> str:
+        """In the operators' form: one name=value a line, with their names."""
+        lines = [f"{PREFIX}.responses.{name}.{word}={count}" for name, counts in self.by_type.items()
+                 for word, count in zip(("ok", "shed", "errors"), counts, strict=True)]
+        lines += [f"{PREFIX}.{word}={count}" for word, count in (
+            ("tries", self.transmitted), ("active", self.held), ("pool_size", self.listed),
+            ("pool_ejected", self.avoided), ("config_applied", self.reloads[0]),
+            ("config_rejected", self.reloads[1]))]
+        return "\n".join(lines) + "\n"
+
+
 @dataclass(frozen=True, slots=True)
 class Calls:
     """What the sender does for each call; ids are those of the list of endpoints."""
 
     ready: Callable[[], Answer]
-    figures: Callable[[], Answer]
+    figures: Callable[[], Figures]
     disable: Callable[[str], Answer]
     enable: Callable[[str], Answer]
     drain: Callable[[], Answer]
@@ -130,7 +153,8 @@
         asked = urllib.parse.parse_qs(head.query, keep_blank_values=True)
         ids = asked.get("id", [])
         calls = self._calls
-        plain = {("GET", "/ready"): calls.ready, ("GET", "/metrics"): calls.figures,
+        figures = lambda: Answer(True, calls.figures().text())     # noqa: E731
+        plain = {("GET", "/ready"): calls.ready, ("GET", "/metrics"): figures,
                  ("POST", "/drain"): calls.drain, ("POST", "/undrain"): calls.undrain}
         by_id = {("POST", "/endpoints/disable"): calls.disable, ("POST", "/endpoints/enable"): calls.enable}
         key = head.method, head.path
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -9,7 +9,9 @@
 
 import asyncio
 import dataclasses
+import json
 import logging
+from collections import Counter
 
 from birchstack import interface as our
 from birchstack.decide import NEVER_RAN, Sender
@@ -21,7 +23,7 @@
 from birchstack.net.log import broken, holds, say
 from birchstack.net.machine import LastingClock, Machine
 from birchstack.net.notices import Notices
-from birchstack.net.operators import Answer, Door
+from birchstack.net.operators import Answer, Door, Figures
 from birchstack.net.operators import Calls as Asked
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5     # after SIGTERM: new clients, new calls, answers to calls
@@ -31,6 +33,7 @@
 RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds")    # at SIGHUP
 REMEMBERED = 4096               # answers kept for ids that come again
 LOCK, LOOK_S = "lock", 0.05     # held by the process that sends from the folder; asked for so often meanwhile
+BY_HAND = "out-by-hand"         # the endpoints that operators took out, written whole
 log = logging.getLogger(__name__)
 
 
@@ -58,8 +61,10 @@
         self._fresh: dict[str, Handed] = {}     # handed in during this turn, not yet answered
         self._starting: dict[str, Call] = {}    # calls that leave at the end of this turn
         self._answers: dict[str, tuple[str, float]] = {}    # by id, for those that come again
-        self._zones: dict[str, str] = {}
-        self._kinds: dict[str, int] = {}        # of each endpoint listed, its place in the kinds
+        self._entries: dict[str, our.Endpoint] = {}     # each endpoint listed, as discovery lists it
+        self._by_hand: dict[str, None] = self._read_by_hand()
+        self._counted: Counter[tuple[str, int]] = Counter()    # by type: delivered, refused, failed
+        self._reloads = [0, 0]
         self._destinations: dict[int, None] = {}    # those listed, the longest unheard of first
         self._turn_due, self._turned_at = False, 0.0
         self._alarm: asyncio.TimerHandle | None = None
@@ -89,7 +94,7 @@
         self._ready = True
         if not self._holds:
             self._loop.call_later(LOOK_S, self._wait_for_the_folder)
-        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._zones),
+        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._entries),
             holds=self._holds)
 
     def _take_up(self) -> None:
@@ -127,8 +132,9 @@
         self._ledger.close()
         self._ledger = Ledger(self._folder, self._config.disk_bytes)
         self._core, self._holds = Sender(self._config.settings, self._config.seed, self), True
+        self._by_hand = self._read_by_hand()    # the other may have been told more since this one started
         for mode, listed in self._unheard:
-            self._inbox.append((self._core.endpoints, mode, listed))
+            self._inbox.append((self._core.endpoints, mode, [self._as_told(entry) for entry in listed]))
         self._unheard.clear()
         self._take_up()
         say(log, "holds the folder", owed=len(self._ledger.owed))
@@ -155,23 +161,22 @@
     def _listed(self, mode: str, listed: list) -> None:
         if mode == our.WHOLE:                   # what it leaves out is gone
             named = {entry.name for entry, _ in listed}
-            for name in [each for each in self._zones if each not in named]:
+            for name in [each for each in self._entries if each not in named]:
                 self._calls.gone(name)
-                del self._zones[name], self._kinds[name]
+                del self._entries[name]
         for entry, where in listed:
             if entry.state != our.GONE:
                 self._calls.move(entry.name, where)
-                self._zones[entry.name], self._kinds[entry.name] = entry.zone, entry.kind
+                self._entries[entry.name] = entry
                 self._destinations.pop(entry.destination, None)
                 self._destinations[entry.destination] = None
             else:
                 self._calls.gone(entry.name)
-                self._zones.pop(entry.name, None)
-                self._kinds.pop(entry.name, None)
-        while len(self._destinations) > max(REMEMBERED, len(self._zones)):
+                self._entries.pop(entry.name, None)
+        while len(self._destinations) > max(REMEMBERED, len(self._entries)):
             del self._destinations[next(iter(self._destinations))]
         if self._holds:
-            self._happened(self._core.endpoints, mode, [entry for entry, _ in listed])
+            self._happened(self._core.endpoints, mode, [self._as_told(entry) for entry, _ in listed])
             return
         if mode == our.WHOLE:                   # the decisions will hear of them when this process sends
             self._unheard.clear()
@@ -181,6 +186,7 @@
         """The first line of an answer says so; the rest of it cannot change that."""
         owed = self._ledger.owed.get(call.doc)
         if owed and holds(owed.notice is None, "a document has one end"):
+            self._counted[owed.type, 0] += 1
             self._ledger.done(owed)
 
     def _ended(self, call: Call, outcome: our.Outcome) -> None:
@@ -258,6 +264,8 @@
                 self._answer(handed, CLOSED, advice_ms)
 
     def _answer(self, handed: Handed, verdict: str, wait_ms: float = 0.0) -> None:
+        if verdict != TAKEN:
+            self._counted[handed.type, 2 if verdict == ABANDONED else 1] += 1
         self._answers[handed.id] = verdict, wait_ms
         if len(self._answers) > REMEMBERED:
             del self._answers[next(iter(self._answers))]
@@ -288,7 +296,7 @@
                 continue
             call.body = owed.body
             try:
-                self._ledger.call(owed, self._zones.get(call.endpoint, ""), wall)
+                self._ledger.call(owed, self._entries[call.endpoint].zone, wall)
             except OSError as problem:
                 say(log, "not sent", logging.ERROR, problem=problem)
                 self._unsent(call)
@@ -328,6 +336,7 @@
     def _owe_notice(self, doc_id: str, result: str, wait_ms: float) -> None:
         owed = self._ledger.owed.get(doc_id)
         if holds(owed and owed.notice is None, "a document has one end"):
+            self._counted[owed.type, 2 if result == "dead" else 1] += 1
             self._ledger.notice(owed, result, wait_ms)
             self._notices.tell(doc_id, result, wait_ms)
 
@@ -360,14 +369,60 @@
             return Answer(False, "closing", 503)
         return Answer(True, "ready") if self._ready else Answer(False, "starting", 503)
 
-    def _figures(self) -> Answer:
-        return Answer(False, "not built yet", 501)
+    def _figures(self) -> Figures:
+        types = [kind.name for kind in self._config.settings.types]
+        types += sorted({name for name, _ in self._counted if name not in types})
+        by_hand = [name for name in self._by_hand if name in self._entries]
+        avoided = len(by_hand) + sum(name not in self._by_hand for name in self._core.avoided())
+        held = sum(owed.notice is None for owed in self._ledger.owed.values())
+        return Figures({name: tuple(self._counted[name, at] for at in range(3)) for name in types},
+                       self._calls.transmitted, held, len(self._entries), avoided, tuple(self._reloads))
+
+    def _as_told(self, entry: our.Endpoint) -> our.Endpoint:
+        """Out by hand counts as draining, whatever discovery lists; what is gone is gone."""
+        if entry.name in self._by_hand and entry.state == our.READY:
+            return dataclasses.replace(entry, state=our.DRAINING)
+        return entry
+
+    def _read_by_hand(self) -> dict[str, None]:
+        try:
+            told = json.loads(self._folder.read(BY_HAND))
+        except FileNotFoundError:
+            return {}
+        except (OSError, ValueError) as problem:    # written whole and renamed: only a broken disk does this
+            say(log, "endpoints out by hand not read", logging.ERROR, problem=problem)
+            return {}
+        return {str(name): None for name in told[-REMEMBERED:]} if isinstance(told, list) else {}
+
+    def _by_hand_now(self, endpoint: str, out: bool) -> Answer:
+        """Takes an endpoint out, or lets it serve again: on disk before the yes, for the next process too."""
+        if not out and endpoint not in self._by_hand or out and endpoint in self._by_hand:
+            return Answer(True, f"{endpoint} {'out' if out else 'in'} already")
+        if out and len(self._by_hand) >= REMEMBERED:
+            return Answer(False, f"{REMEMBERED} endpoints are out by hand already", 409)
+        wanted = {**self._by_hand, endpoint: None} if out else {
+            name: None for name in self._by_hand if name != endpoint}
+        try:
+            self._folder.write(BY_HAND + ".new", json.dumps([*wanted]).encode())
+            self._folder.rename(BY_HAND + ".new", BY_HAND)
+        except OSError as problem:
+            say(log, "endpoints out by hand not written", logging.ERROR, problem=problem)
+            return Answer(False, "the folder cannot be written", 503)
+        self._by_hand = wanted
+        entry = self._entries.get(endpoint)
+        if entry and self._holds:
+            self._happened(self._core.endpoints, our.CHANGES, [self._as_told(entry)])
+        return Answer(True, f"{endpoint} {'out' if out else 'in'}")
 
     def _disable(self, endpoint: str) -> Answer:
-        return Answer(False, "not built yet", 501)
+        if endpoint not in self._entries and endpoint not in self._by_hand:
+            return Answer(False, f"id: {endpoint!r} is not listed", 404)
+        return self._by_hand_now(endpoint, True)
 
     def _enable(self, endpoint: str) -> Answer:
-        return Answer(False, "not built yet", 501)
+        if endpoint not in self._entries and endpoint not in self._by_hand:
+            return Answer(False, f"id: {endpoint!r} is not listed", 404)
+        return self._by_hand_now(endpoint, False)
 
     def _drain(self, drained: bool) -> Answer:
         """Clients are sent away, and what is held is still sent; the sender stays."""
@@ -385,7 +440,9 @@
             self._fits(fresh)
         except ConfigError as problem:
             say(log, "configuration not taken over", logging.ERROR, problem=problem)
+            self._reloads[1] += 1
             return
+        self._reloads[0] += 1
         waits = [each.name for each in dataclasses.fields(Config) if each.name not in RELOADED
                  and getattr(fresh, each.name) != getattr(self._config, each.name)]
         changed = [each.name for each in dataclasses.fields(our.Settings)
@@ -411,7 +468,7 @@
             if effects[name] != old.get(name, effects[name]):
                 raise ConfigError(f"{at} changes its effect")
         both = min(len(fresh.kinds), len(self._config.kinds))
-        listed = 1 + max(self._kinds.values(), default=0)
+        listed = 1 + max((entry.kind for entry in self._entries.values()), default=0)
         if fresh.kinds[:both] != self._config.kinds[:both] or listed > max(1, both):
             raise ConfigError("settings.hostTypes: while it runs, kinds come and go only at the end, and "
                               "none that is listed may go")
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -32,7 +32,7 @@
 class Desk:
     """What a line asks of the calls it belongs to."""
 
-    dial_ms, idle_ms, loop = 200.0, 1000.0, None
+    dial_ms, idle_ms, loop, transmitted = 200.0, 1000.0, None, 0
 
     def __init__(self):
         self.ends, self.ok, self.dropped, self.timers = [], [], [], []
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -349,3 +349,17 @@
     for number in range(20):
         story.take(f"e{number}")
     assert sum(name == "b" for _, name in story.calls) <= 2
+
+
+@pytest.mark.parametrize(("away", "most"), [(our.DRAINING, 3), (our.READY, 20)])
+def test_an_endpoint_back_from_a_drain_or_out_by_hand_is_cold(away, most):
+    story = Story(slots=40)                     # the operators' days: restarted while out, it returns cold
+    for number in range(10):
+        story.take(f"d{number}")
+        story.ends(f"d{number}", our.OK, 100.0)
+    story.listed(["a"], our.CHANGES, away)
+    story.at(story.now + 2000.0)
+    story.listed(["a"], our.CHANGES)
+    for number in range(20):
+        story.take(f"w{number}")
+    assert sum(doc.startswith("w") for doc, _ in story.calls) <= most
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -112,3 +112,62 @@
         assert len(called) == len(set(called)), "a document was sent twice"
         assert "holds the folder" in world.log() and "handing=True" in world.log()
     play(tmp_path, story)
+
+
+# Figures
+
+def figures(text):
+    return dict(line.split("=") for line in text.splitlines())
+
+
+def test_the_figures_count_from_the_start_what_became_of_each_type(tmp_path):
+    async def story(world):
+        assert (await world.hand_in("d1"))[0] == 202
+        assert (await world.hand_in("d2", left=0))[0] == 429            # no time left: refused
+        assert await world.until(lambda: world.calls)
+        await asyncio.sleep(0.1)
+        status, text = await world.operator("GET", "/metrics")
+        told = figures(text)
+        assert status == 200 and told["balancer.responses.sync.ok"] == "1"
+        assert told["balancer.responses.sync.shed"] == "1" and told["balancer.responses.sync.errors"] == "0"
+        assert told["balancer.responses.pay.ok"] == "0" and told["balancer.tries"] == "1"
+        assert told["balancer.active"] == "0" and told["balancer.pool_size"] == "1"
+        assert told["balancer.pool_ejected"] == "0" and told["balancer.config_applied"] == "0"
+    play(tmp_path, story)
+
+
+# Endpoints out by hand
+
+def test_an_endpoint_out_by_hand_gets_nothing_new_until_one_call_puts_it_back(tmp_path):
+    async def story(world):
+        assert (await world.hand_in("d1"))[0] == 202
+        assert await world.until(lambda: len(world.calls) == 1)
+        assert await world.operator("POST", "/endpoints/disable?id=s-1") == (200, "s-1 out\n")
+        assert (await world.operator("POST", "/endpoints/disable?id=s-1"))[0] == 200    # twice
+        for asked in ["/endpoints/disable?id=s-9", "/endpoints/enable?id=s-9", "/endpoints/disable",
+                      "/endpoints/disable?id=s-1&id=s-2"]:
+            assert 400 <= (await world.operator("POST", asked))[0] < 500
+        assert figures((await world.operator("GET", "/metrics"))[1])["balancer.pool_ejected"] == "1"
+        assert (await world.hand_in("d2"))[0] == 202
+        await asyncio.sleep(0.5)
+        assert len(world.calls) == 1                                    # d2 waits
+        assert await world.operator("POST", "/endpoints/enable?id=s-1") == (200, "s-1 in\n")
+        assert await world.until(lambda: len(world.calls) == 2) and world.calls[1][0] == "d2"
+        assert figures((await world.operator("GET", "/metrics"))[1])["balancer.pool_ejected"] == "0"
+    play(tmp_path, story)
+
+
+def test_an_endpoint_out_by_hand_stays_out_over_an_upgrade(tmp_path):
+    async def story(world):
+        assert (await world.operator("POST", "/endpoints/disable?id=s-1"))[0] == 200
+        second, ops = await world.beside()
+        first, world.process = world.process, second
+        first.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(first.wait(), 4.0) == 0
+        assert await world.until(lambda: "holds the folder" in world.log())
+        assert (await world.hand_in("d1"))[0] == 202
+        await asyncio.sleep(0.5)
+        assert not world.calls
+        assert (await world.operator("POST", "/endpoints/enable?id=s-1", ops))[0] == 200
+        assert await world.until(lambda: world.calls)
+    play(tmp_path, story)
