Told waits and returns by hand outlast the process: an upgrade is one sender

A 429 with X-Come-Back-Ms told to the old process lived only in its decisions (Route.wait_until); the new one took over 0.1 to 0.3 s after the old one's SIGTERM and would call that endpoint at once, breaking rule 6 for what is left of the wait. Likewise an endpoint put back by hand and being warmed up (Endpoint.back_at) was met as warm by the new decisions: rule 4. Lines at fault: Node._ended, which told the ledger nothing of waits, and Node._take_up, which told the decisions only documents.

Design: the ledger keeps a line ["wait", endpoint, until] (wall clock, the latest 256, written again at compaction); the file out-by-hand keeps beside the ids out the time each was put back. At a start or a take-over, before the documents, the decisions hear Events.recall(endpoint, wait still to run, time since it came back); decide.recall holds the route and sets the endpoint's warmth from that time, the module choosing how cold it still is. Not chosen: the new process holding back endpoints itself until a wait is over (a decision in the host), or re-telling every endpoint put back by hand as draining then ready (its ramp would begin anew, however long ago it came back).

Tests: a wait told to the old process is kept by the new one on loopback (fails when the ledger is not told: d1 sent again at once); the decisions' story of a recalled wait and a recalled return (fails with recall doing nothing); the ledger of one that waits, taken up with the holder's, waits kept over compaction.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -141,8 +141,7 @@
         self._types, self._draw = {kind.name: kind for kind in settings.types}, random.Random(seed).uniform
         self._destinations: dict[int, Destination] = {}
         self._begin = int(self._draw(0.0, 64.0))    # many senders begin at different endpoints
-        self._endpoints: dict[str, Endpoint] = {}
-        self._marks: dict[str, Endpoint] = {}       # by what notes call them
+        self._endpoints, self._marks = {}, {}       # by name, and by what notes call them
         self._norm, self._notes = Average(NORM_PART), Meter(0.0)    # of answer times; of notes told
         self._held, self._flying, self._keys = {}, {}, {}   # and ended while a transmission is out; by key
         self._ends: list[tuple[float, int, Document]] = []
@@ -201,14 +200,12 @@
             doc.keyline.docs.append(doc)
             if doc.doubt:               # what was out when its sender ended may still run
                 doc.keyline.rest_until, doc.keyline.rested_by = now + self._set.key_rest_ms, doc
-        self._held[doc_id] = doc
-        doc.path = self._deliver(doc)
+        self._held[doc_id], doc.path = doc, self._deliver(doc)
         self._resume(now, doc, None)
 
     def outcome(self, now: float, doc_id: str, endpoint: str, outcome: our.Outcome) -> None:
         """How a transmission ended."""
-        self._stirred = True
-        doc = self._held.get(doc_id) or self._flying.get(doc_id)
+        self._stirred, doc = True, self._held.get(doc_id) or self._flying.get(doc_id)
         if doc is None or doc.out is None or outcome.number != doc.sent - 1:
             return
         call, doc.out = doc.out, None
@@ -235,6 +232,11 @@
             self._destinations[number] = Destination(number, self._set, self._begin + number, now)
         return self._destinations[number]
 
+    def recall(self, now: float, endpoint: str, wait_ms: float, back_ms: float) -> None:  # of the one before
+        if ep := self._endpoints.get(endpoint):     # a wait told, and how long ago it was back from a drain
+            ep.route.wait_until = max(ep.route.wait_until, now + wait_ms)
+            ep.back_at = now - back_ms if back_ms >= 0.0 else ep.back_at
+
     def avoided(self) -> list[str]:     # for the figures: listed as ready, yet only trials go there
         return [ep.name for ep in self._endpoints.values() if ep.ill and ep.state == READY]
 
@@ -316,8 +318,7 @@
         return False
 
     def _transmit(self, now: float, doc: Document, ep: Endpoint) -> None:
-        dest = doc.destination
-        dest.turn = ep.number + 1
+        dest, dest.turn = doc.destination, ep.number + 1
         (self._repeats if doc.repeats else self._firsts).add(now)
         dest.tokens = min(TOKENS, dest.tokens - (doc.repeats > 0) + TOKEN_PER_TRANSMISSION)
         if not ep.joinable():
@@ -400,8 +401,7 @@
         self._dialled.clear()
 
     def _look(self, now: float, dest: Destination, best: dict[int, tuple]) -> None:
-        places = self._places(now, dest)
-        if not places:
+        if not (places := self._places(now, dest)):
             return
         found, joining = None, places[0].joinable()      # a call that leaves takes all it can
         for doc in dest.line:
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -119,6 +119,10 @@
 
     def withdrawn(self, now: float, doc_id: str) -> None: ...
 
+    def recall(self, now: float, endpoint: str, wait_ms: float, back_ms: float) -> None:
+        """What a process before this one was told of an endpoint: a wait still to run, and how long ago it
+        came back from a drain or from out by hand (or -1)."""
+
     def heard(self, now: float, note: str) -> None: ...
 
     def adopt(self, now: float, settings: Settings) -> None: ...
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -22,6 +22,7 @@
 BLOCK = 512
 LINE = 512                      # room kept for what is still to be written of one document
 GROWN = 131072                  # the file is written anew when it is so long and mostly past
+WAITS = 256                     # told waits kept, the latest
 log = logging.getLogger(__name__)
 
 
@@ -62,6 +63,7 @@
         self._folder, self._limit = folder, limit - 4 * 4096    # the folder itself may count
         self.owed: dict[str, Owed] = {}
         self.ended: dict[str, None] = {}        # ended before the start; the file still told of them
+        self.waits: dict[str, float] = {}       # by endpoint, until when it told to wait, by the wall clock
         self._bodies = self._size = self._next = 0
         self._file, self._name = -1, FILE
         if waiting:
@@ -108,6 +110,14 @@
         self._note(["back", owed.id, int(doubt), int(failed)])
         self._tidy()
 
+    def told(self, endpoint: str, until: float) -> None:
+        """An endpoint told a wait; a process that follows this one keeps it too: an upgrade is one sender."""
+        until = max(until, self.waits.pop(endpoint, until))
+        self.waits[endpoint] = until
+        if len(self.waits) > WAITS:
+            del self.waits[next(iter(self.waits))]
+        self._note(["wait", endpoint, until])
+
     def notice(self, owed: Owed, result: str, wait_ms: float) -> None:
         """The document is over and the platform is owed a notice."""
         owed.notice = result, wait_ms
@@ -180,7 +190,9 @@
 
     def compact(self) -> bool:
         """Writes the file anew with only what is owed; until the new one has its name the old one counts."""
-        text = b"".join(self._line(words) for owed in self.owed.values() for words in self._lines_of(owed))
+        lines = [words for owed in self.owed.values() for words in self._lines_of(owed)]
+        lines += [["wait", name, until] for name, until in self.waits.items()]
+        text = b"".join(map(self._line, lines))
         fresh = -1
         try:
             fresh = self._folder.open(self._name + ".new", fresh=True)
@@ -227,6 +239,9 @@
             say(log, "recovered", owed=len(self.owed), torn=torn)
 
     def _replay(self, what: str, doc_id: str, *words) -> None:
+        if what == "wait":              # of an endpoint, not a document
+            self.waits[doc_id] = max(float(words[0]), self.waits.pop(doc_id, 0.0))
+            return
         if what == "take":
             self.owed[doc_id] = Owed(doc_id, *words)
             self._next = max(self._next, self.owed[doc_id].number + 1)
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -62,7 +62,7 @@
         self._starting: dict[str, Call] = {}    # calls that leave at the end of this turn
         self._answers: dict[str, tuple[str, float]] = {}    # by id, for those that come again
         self._entries: dict[str, our.Endpoint] = {}     # each endpoint listed, as discovery lists it
-        self._by_hand: dict[str, None] = self._read_by_hand()
+        self._by_hand, self._back = self._read_by_hand()    # out by hand; put back, by the wall clock
         self._counted: Counter[tuple[str, int]] = Counter()    # by type: delivered, refused, failed
         self._reloads = [0, 0]
         self._destinations: dict[int, None] = {}    # those listed, the longest unheard of first
@@ -103,6 +103,11 @@
         self._answers.update({doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)})
         while len(self._answers) > REMEMBERED:
             del self._answers[next(iter(self._answers))]
+        for name in {**self._ledger.waits, **self._back}:     # before the documents: they may be held by it
+            wait_ms = self._ledger.waits.get(name, wall) - wall
+            back_ms = wall - self._back.get(name, wall + 1.0)
+            if wait_ms > 0.0 or back_ms >= 0.0:
+                self._inbox.append((self._core.recall, name, max(0.0, wait_ms), back_ms))
         for owed in [*self._ledger.owed.values()]:
             owed.due = now + owed.expiry - wall
             if owed.notice:
@@ -132,7 +137,7 @@
         self._ledger.close()
         self._ledger = Ledger(self._folder, self._config.disk_bytes)
         self._core, self._holds = Sender(self._config.settings, self._config.seed, self), True
-        self._by_hand = self._read_by_hand()    # the other may have been told more since this one started
+        self._by_hand, self._back = self._read_by_hand()    # the other may have been told more meanwhile
         for mode, listed in self._unheard:
             self._inbox.append((self._core.endpoints, mode, [self._as_told(entry) for entry in listed]))
         self._unheard.clear()
@@ -190,6 +195,8 @@
             self._ledger.done(owed)
 
     def _ended(self, call: Call, outcome: our.Outcome) -> None:
+        if outcome.wait_ms > 0.0:
+            self._ledger.told(call.endpoint, self._lasting.ms() + outcome.wait_ms)
         owed = self._ledger.owed.get(call.doc)
         if owed:
             if outcome.over:
@@ -384,15 +391,16 @@
             return dataclasses.replace(entry, state=our.DRAINING)
         return entry
 
-    def _read_by_hand(self) -> dict[str, None]:
+    def _read_by_hand(self) -> tuple[dict[str, None], dict[str, float]]:
         try:
             told = json.loads(self._folder.read(BY_HAND))
+            return ({str(name): None for name in told["out"][-REMEMBERED:]},
+                    {str(name): float(when) for name, when in [*told["back"].items()][-REMEMBERED:]})
         except FileNotFoundError:
-            return {}
-        except (OSError, ValueError) as problem:    # written whole and renamed: only a broken disk does this
+            return {}, {}
+        except (OSError, ValueError, TypeError, KeyError, AttributeError) as problem:   # only a broken disk
             say(log, "endpoints out by hand not read", logging.ERROR, problem=problem)
-            return {}
-        return {str(name): None for name in told[-REMEMBERED:]} if isinstance(told, list) else {}
+            return {}, {}
 
     def _by_hand_now(self, endpoint: str, out: bool) -> Answer:
         """Takes an endpoint out, or lets it serve again: on disk before the yes, for the next process too."""
@@ -402,13 +410,18 @@
             return Answer(False, f"{REMEMBERED} endpoints are out by hand already", 409)
         wanted = {**self._by_hand, endpoint: None} if out else {
             name: None for name in self._by_hand if name != endpoint}
+        back = {name: when for name, when in self._back.items() if name != endpoint}
+        if not out:
+            back[endpoint] = self._lasting.ms()
+        while len(back) > REMEMBERED:
+            del back[next(iter(back))]
         try:
-            self._folder.write(BY_HAND + ".new", json.dumps([*wanted]).encode())
+            self._folder.write(BY_HAND + ".new", json.dumps({"out": [*wanted], "back": back}).encode())
             self._folder.rename(BY_HAND + ".new", BY_HAND)
         except OSError as problem:
             say(log, "endpoints out by hand not written", logging.ERROR, problem=problem)
             return Answer(False, "the folder cannot be written", 503)
-        self._by_hand = wanted
+        self._by_hand, self._back = wanted, back
         entry = self._entries.get(endpoint)
         if entry and self._holds:
             self._happened(self._core.endpoints, our.CHANGES, [self._as_told(entry)])
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -363,3 +363,21 @@
     for number in range(20):
         story.take(f"w{number}")
     assert sum(doc.startswith("w") for doc, _ in story.calls) <= most
+
+
+def test_a_wait_and_a_return_told_to_the_process_before_are_kept():
+    story = Story(slots=40)                     # an upgrade is one sender: a wait told to the old one holds
+    story.sender.recall(story.now, "a", 1500.0, -1.0)
+    story.take("d1")
+    story.at(1400.0)
+    assert not story.calls
+    story.at(1600.0)
+    assert story.calls == [("d1", "a")]
+    cold = Story(slots=40)
+    for number in range(10):
+        cold.take(f"d{number}")
+        cold.ends(f"d{number}", our.OK, 100.0)
+    cold.sender.recall(cold.now, "a", 0.0, 500.0)   # back from out by hand half a second ago: still cold
+    for number in range(20):
+        cold.take(f"w{number}")
+    assert sum(doc.startswith("w") for doc, _ in cold.calls) <= 3
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -100,3 +100,23 @@
     with pytest.raises(OSError):
         take(ledger)
     assert not ledger.owed and os.listdir(tmp_path) == ["ledger"]
+
+
+def test_a_process_that_waits_writes_apart_and_the_next_holder_takes_both_up(tmp_path):
+    folder = Folder(str(tmp_path))
+    holder = Ledger(folder, 3_000_000)
+    take(holder, "old", b"old body")
+    holder.told("s-1", 5000.0)
+    waiting = Ledger(folder, 3_000_000, waiting="beef")
+    take(waiting, "new", b"new body")
+    assert [*holder.owed] == ["old"] and [*waiting.owed] == ["new"]    # neither reads the other's
+    assert not waiting.waits
+    holder.told("s-1", 4000.0)                  # an earlier end does not shorten a wait
+    holder.close()
+    waiting.close()
+    after = Ledger(folder, 3_000_000)           # the one that waited, once it holds the folder
+    assert [*after.owed] == ["new", "old"] and after.waits == {"s-1": 5000.0}
+    assert (after.owed["new"].body, after.owed["old"].body) == (b"new body", b"old body")
+    assert not [name for name in os.listdir(tmp_path) if name.startswith("ledger-next")]
+    after.compact()
+    assert Ledger(folder, 3_000_000).waits == {"s-1": 5000.0}
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,7 +4,7 @@
 import contextlib
 import signal
 
-from fake import OK_200, World, post, read_message
+from fake import OK_200, World, answer, post, read_message
 
 
 def play(folder, story, **words):
@@ -171,3 +171,19 @@
         assert (await world.operator("POST", "/endpoints/enable?id=s-1", ops))[0] == 200
         assert await world.until(lambda: world.calls)
     play(tmp_path, story)
+
+
+def test_a_wait_told_to_the_old_process_is_kept_by_the_new_one(tmp_path):
+    async def story(world):
+        world.answers = [answer(429, x_come_back_ms=2500)]
+        assert (await world.hand_in("d1"))[0] == 202
+        assert await world.until(lambda: world.calls)
+        told_at = asyncio.get_running_loop().time()
+        second, _ = await world.beside()
+        first, world.process = world.process, second
+        first.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(first.wait(), 4.0) == 0
+        assert await world.until(lambda: "holds the folder" in world.log())
+        assert await world.until(lambda: len(world.calls) == 2, 6.0)     # d1 again, from the new one
+        assert asyncio.get_running_loop().time() - told_at >= 2.4
+    play(tmp_path, story)
