Documents that no place can take are answered at once, told when to come back

A document whose destination is listed with all endpoints draining, gone or out by hand, or whose told wait runs past its last call, sat in line until 0.1 s before its expiry (the heap of ends in turn()) and was then rejected: the client had no time left to come again.

A destination never listed still waits: the list may be late (an empty start, an asked list). Document.back_ms carries the time.

Tests: three stories in test_rules fail on the old code (drained, gone, wait past the time left, numbered in doubt abandoned). Four stories of the real sender that asserted the old holding (out by hand, over an upgrade, a leaving endpoint) now expect 429 at the door.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -265,6 +265,7 @@
             self._ask_at = float("inf")
             self._host.subscribe()
         self._wake(now, self._ask_at)
+        self._hopeless(now)
         self._make_room(now)
         self._fill(now)
         for ep in self._lying.values():     # kept by many, they shut others out
@@ -363,7 +364,7 @@
         if doc.lost() or doc.doubt and doc.kind.effect == NUMBERED and doc.kind.one_zone:
             self._host.abandon(doc.id)
         else:
-            self._host.reject(doc.id, self._set.retry_after_ms)
+            self._host.reject(doc.id, min(self._set.retry_after_ms, doc.back_ms))
         self._end(doc)
 
     def _end(self, doc: Document) -> None:
@@ -474,6 +475,19 @@
             self._wake(now, now + wait_ms)
         return wait_ms <= 0.0
 
+    def _hopeless(self, now: float) -> None:
+        """What no place can take before its last call is answered now, with when to come back: held until
+        its expiry, the client could not ask again. Meets whole destinations drained, gone, out by hand or
+        no longer listed, and told waits past the time left; one never listed waits for a list that is late
+        (an empty start, an asked list). May hurt where endpoints are listed again soon."""
+        for dest in [dest for dest in self._destinations.values() if dest.line and dest.routes]:
+            routes = [route for route in dest.routes if any(ep.state == READY for ep in route.endpoints)]
+            opens = min((max(route.wait_until, route.hold_until) for route in routes), default=float("inf"))
+            for doc in [doc for doc in dest.line if opens > self._last_call(doc)]:
+                dest.line.remove(doc)
+                doc.back_ms = opens - now
+                self._resume(now, doc, None)
+
     def _make_room(self, now: float) -> None:
         while len(self._held) >= self._set.max_held:
             lines = [(each.troubled(now), len(each.line), -number) for number, each in
--- a/birchstack/state.py
+++ b/birchstack/state.py
@@ -113,6 +113,7 @@
         self.sent, self.repeats = past.sent, 0  # transmissions, and those that the bucket paid for
         self.doubt = [*past.doubt]      # transmissions that may have run: time and zone
         self.over, self.keyline, self.path = False, None, None
+        self.back_ms = float("inf")     # when it may come again, where it is rejected for want of a place
 
     def lost(self) -> bool:     # it must not be transmitted again, nor handed in again
         return bool(self.doubt) and self.kind.effect == BINDING
