Tenants' quotas and the asked list's interval reach the module

Change: Settings gets list_every_ms, tenants (name, quota) and over_share, decoded once in settings.py for both hosts; Events.document takes the tenant. decide.py keeps a ring of documents taken for each tenant; a document's worth falls with the part of its tenant beyond the quota (own rate times the senders), and _value, the line and the room use it. Where it may hurt: a sender that carries far more than others sees all tenants beyond their share (the order among them stays). The asked list's backoff is at most twice askEveryMs.

Tests: two stories fail on the old code (room gives up the flooding tenant's document, not the oldest; the failing list asked for again within twice the interval).

--- a/birchstack/adapter/wire.py
+++ b/birchstack/adapter/wire.py
@@ -126,7 +126,8 @@
         sender = instance.sender
         if event == "inbound":
             return (sender.document, now, fields["txn"], fields["boundFor"], fields["service"],
-                    fields["timeBudgetMs"], fields.get("subject") or None)
+                    fields["timeBudgetMs"], fields.get("subject") or None, our.NO_PAST,
+                    fields.get("userGroup") or None)
         if event == "settled":
             if fields["how"] not in OUTCOMES:
                 raise WireError(f"unknown outcome {fields['how']!r}")
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -154,12 +154,15 @@
         self._busy = self._level = self._turned = 0.0   # shares of slots taken
         self._ask_ms = ASK_MS           # not all at one time: the list can answer only so many
         self._ask_at = self._draw(0.0, ASK_MS) if settings.list_on_request else float("inf")
+        self._tenants: dict[str, tuple[float, Ring]] = {}   # quota and documents taken, by tenant
+        self._quotas(settings)
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
         """The list, or changes to it; one that is ready again after a drain, or out by hand, is cold."""
         self._stirred = True
         if mode == our.FAILED:
-            self._ask_ms = min(LONGEST_ASK_MS, self._ask_ms * 2.0)
+            longest = min(LONGEST_ASK_MS, 2.0 * (self._set.list_every_ms or LONGEST_ASK_MS))  # or deemed told
+            self._ask_ms = min(longest, self._ask_ms * 2.0)
             self._ask_at = now + self._draw(0.5, 1.0) * self._ask_ms
             return
         if mode != our.CHANGES:                     # what a whole list leaves out is gone
@@ -186,13 +189,18 @@
             self._destinations = {each: dest for each, dest in self._destinations.items() if dest.used(now)}
 
     def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
-                 key: str | None, past: our.Past = our.NO_PAST) -> None:
+                 key: str | None, past: our.Past = our.NO_PAST, tenant: str | None = None) -> None:
         self._order, self._stirred = self._order + 1, True
         dest = self._destination(destination, now)
         dest.taken, dest.failed = dest.taken + 1, dest.failed + past.failed
         if past.failed:
             self._failed[destination] = dest
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
+        if tenant in self._tenants:     # beyond its share by its own documents times the senders: worth less
+            quota, taken = self._tenants[tenant]
+            taken.add(now)
+            beyond = max(0.0, 1.0 - quota / (taken.rate(now) * self._set.senders))
+            doc.worth = 1.0 - beyond * (1.0 - self._set.over_share)
         if key is not None and doc.kind.in_order:
             if len(self._keys) > len(self._held) + FORGET:
                 self._keys = {each: line for each, line in self._keys.items() if line.used(now)}
@@ -655,7 +663,7 @@
     def _value(self, now: float, doc: Document) -> float:
         kind, late = doc.kind, max(0.0, now - doc.taken - doc.kind.agreed_ms)
         span = max(kind.expiry_ms - kind.agreed_ms, 1.0)
-        return kind.value * (1.0 - (1.0 - kind.late_share) * min(1.0, late / span))
+        return doc.worth * kind.value * (1.0 - (1.0 - kind.late_share) * min(1.0, late / span))
 
     def _last_call(self, doc: Document) -> float:
         """The last moment at which a transmission may still help."""
@@ -684,11 +692,16 @@
         """Other settings, for what comes next; what is held, out, told, paid, resting or learnt stays."""
         apart, self._set, self._stirred = self._set.routes_apart, settings, True
         self._types = {kind.name: kind for kind in settings.types}
+        self._quotas(settings)
         for dest in self._destinations.values():
             dest.resize(settings)
             if apart != settings.routes_apart:
                 self._regroup(now, dest)
 
+    def _quotas(self, settings: our.Settings) -> None:
+        self._tenants = {name: (quota, self._tenants[name][1] if name in self._tenants else Ring(
+            -BUCKETS * BUCKET_MS, BUCKET_MS, BUCKETS)) for name, quota in settings.tenants}
+
     def _regroup(self, now: float, dest: Destination) -> None:
         eps = [ep for route in dest.routes for ep in route.endpoints]
         dest.routes = [] if eps else dest.routes    # what was told outlasts the last endpoint
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -47,6 +47,9 @@
     warm_up_ms: float
     key_rest_ms: float
     notes: bool                     # whether senders may pass notes to one another
+    list_every_ms: float = 0.0      # an asked list: asked at least so often, or counted as told; 0: no bound
+    tenants: tuple[tuple[str, float], ...] = ()     # name and documents a second of all senders in its share
+    over_share: float = 1.0         # the value of a document beyond its tenant's share, of its type's
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +116,7 @@
     def endpoints(self, now: float, mode: str, entries: list[Endpoint]) -> None: ...
 
     def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
-                 key: str | None, past: Past = NO_PAST) -> None: ...
+                 key: str | None, past: Past = NO_PAST, tenant: str | None = None) -> None: ...
 
     def outcome(self, now: float, doc_id: str, endpoint: str, outcome: Outcome) -> None: ...
 
--- a/birchstack/settings.py
+++ b/birchstack/settings.py
@@ -29,4 +29,7 @@
         list_on_request=config["registryMode"] == "on_request",
         retry_after_ms=limits.get("maxRetryAfterMs") or 0.0 if limits.get("retryAfter") else 0.0,
         cold_share=rules["coldFrom"], warm_up_ms=rules["warmUpMs"],
-        key_rest_ms=rules.get("settleAfterDoubtMs") or 0.0, notes=bool(limits.get("mayTell")))
+        key_rest_ms=rules.get("settleAfterDoubtMs") or 0.0, notes=bool(limits.get("mayTell")),
+        list_every_ms=rules.get("askEveryMs") or 0.0,
+        tenants=tuple((words["name"], float(words["quotaPerS"])) for words in config.get("tenants") or ()),
+        over_share=config.get("overShareWorth", 1.0))
--- a/birchstack/state.py
+++ b/birchstack/state.py
@@ -114,6 +114,7 @@
         self.doubt = [*past.doubt]      # transmissions that may have run: time and zone
         self.over, self.keyline, self.path = False, None, None
         self.back_ms = float("inf")     # when it may come again, where it is rejected for want of a place
+        self.worth = 1.0                # of its type's value: less where its tenant sends beyond its share
 
     def lost(self) -> bool:     # it must not be transmitted again, nor handed in again
         return bool(self.doubt) and self.kind.effect == BINDING
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -67,8 +67,8 @@
         self.sender.endpoints(self.now, mode, entries)
         self.sender.turn(self.now)
 
-    def take(self, doc_id, kind="sync", destination=1, left=20000.0, key=None):
-        self.sender.document(self.now, doc_id, destination, kind, left, key)
+    def take(self, doc_id, kind="sync", destination=1, left=20000.0, key=None, tenant=None):
+        self.sender.document(self.now, doc_id, destination, kind, left, key, our.NO_PAST, tenant)
         self.sender.turn(self.now)
 
     def back(self, docs, kind="sync", key=None, fresh=(), **past):
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -198,6 +198,19 @@
     assert asked[-1] - asked[-2] > 2 * (asked[1] - asked[0])
 
 
+def test_an_asked_list_that_fails_is_asked_for_again_within_twice_the_rules_interval():
+    """Longer without asking after a failure, the sender would count as told of what it never heard."""
+    story = Story(list_on_request=True, list_every_ms=1000.0)
+    story.at(500.0)
+    asked = []
+    for _ in range(8):
+        asked.append(story.now)
+        story.listed([], our.FAILED)
+        while len(story.said) == len(asked):
+            story.at(story.now + 50.0)
+    assert max(b - a for a, b in zip(asked, asked[1:], strict=False)) <= 2050.0
+
+
 def test_other_settings_keep_told_waits_and_documents_held_both_ways():
     story = Story(endpoints=("a", "b"))
     story.take("d", "pay")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -170,3 +170,12 @@
     story.sender.turn(story.now)
     story.at(5000.0)
     assert story.said == [("d", "rejected")]
+
+
+def test_with_no_room_a_document_beyond_its_tenants_share_goes_first():
+    """Worth 5 in 100 beyond the share: the tenant that floods gives way, not the oldest document."""
+    story = Story(endpoints=(), max_held=4, tenants=(("quiet", 100.0), ("flood", 0.1)), over_share=0.05)
+    story.take("a1", tenant="quiet")
+    for doc_id in ["b1", "b2", "b3"]:
+        story.take(doc_id, tenant="flood")
+    assert story.said == [("b3", "rejected")]
