Versions as values and a trail of what each sender acted on; a malformed rev is refused

Need: nobody can say afterwards which sender acted on which list, settings, program or decisions, and Watch._line took any rev that came, also one that goes back or is no number.

A record is in its file before the calls of its turn begin. All off unless BALANCER_FLEET names a file (deploy/fleet.toml): then nothing is imported, no file written, no figure added.

--- a/birchstack/__main__.py
+++ b/birchstack/__main__.py
@@ -2,16 +2,31 @@
 
 import asyncio
 import gc
+import os
 import signal
 import sys
 
 from birchstack.net import log
 from birchstack.net.config import Config, ConfigError, load
 from birchstack.net.sender import Node
+from birchstack.net.witness import Make
 
 
-async def _serve(config: Config) -> None:
-    node = Node(config, asyncio.get_running_loop())
+def _witness(config: Config) -> tuple[Config, Make | None]:
+    """Whoever keeps the record, where operators switched it on; what it needs is imported only then."""
+    path = os.environ.get("BALANCER_FLEET")
+    if not path:
+        return config, None
+    try:
+        from birchstack.fleet import settings, witness
+    except ModuleNotFoundError as problem:
+        raise ConfigError(f"BALANCER_FLEET: {problem.name} is missing (the extra `fleet`)") from problem
+    told = settings.load(path)
+    return settings.room_for(told, config), witness.maker(told)
+
+
+async def _serve(config: Config, witness: Make | None) -> None:
+    node = Node(config, asyncio.get_running_loop(), witness=witness)
     await node.start()
     gc.collect()
     gc.freeze()                 # what a start leaves behind is never garbage
@@ -22,11 +37,11 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])   # until it has its handler
     log.start()
     try:
-        config = load()
+        config, witness = _witness(load())
     except ConfigError as problem:
         print(f"birchstack: configuration: {problem}", file=sys.stderr)
         return 2
-    asyncio.run(_serve(config))
+    asyncio.run(_serve(config, witness))
     return 0
 
 
--- a/birchstack/emulator/virtual.py
+++ b/birchstack/emulator/virtual.py
@@ -66,6 +66,10 @@
     def boot(self) -> str:
         return f"machine-{self._number}"
 
+    def unique(self) -> str:
+        self._day.names += 1
+        return f"{self._day.seed & 0xFFFFFFFF:08x}{self._day.names:08x}"
+
     def folder(self, path: str) -> MemoryFolder:
         return self._folder
 
@@ -236,7 +240,7 @@
         self.world.senders = Senders(self)
         self.network.on_refused = lambda name, host: self.world.refused(int(name), host.name)
         self.processes = [Process(self, number) for number in range(scenario.senders)]
-        self.stepped_ms = 0.0
+        self.stepped_ms, self.names = 0.0, 0
         self._ready: set[int] = set()
 
     def ready(self, number: int) -> None:
--- a/birchstack/net/config.py
+++ b/birchstack/net/config.py
@@ -47,6 +47,7 @@
     known: dict                 # the list as last had, in discovery's form
     settings: Settings
     ops: tuple[str, int] | None = None      # where operators call; none where neither file nor variable says
+    version: int | None = None              # of the file, where whoever writes it numbers it
 
 
 def _at(raw: object, path: str, kind: type | tuple[type, ...]) -> object:
@@ -78,6 +79,14 @@
         raise ConfigError(f"seed: {text!r} is not a hexadecimal number") from problem
 
 
+def _version(raw: dict) -> int | None:
+    version = raw.get("version")
+    if version is not None and (isinstance(version, bool) or not isinstance(version, int)
+                                or not 0 <= version < 1 << 63):
+        raise ConfigError(f"version: {version!r} is not a whole number from 0 up")
+    return version
+
+
 def _found(words: dict, key: str) -> object:
     group, _, name = key.rpartition(".")
     within = words.get(group) if group else words
@@ -153,7 +162,7 @@
         idle_ms=float(_at(raw, "settings.limits.connIdleMs", number)),
         dial_ms=float(_at(raw, "settings.limits.dialTimeoutMs", number)),
         kinds=tuple(words.get("hostTypes") or ()), known=known, settings=decided,
-        ops=_address(raw, "ops") if raw.get("ops") is not None else None)
+        ops=_address(raw, "ops") if raw.get("ops") is not None else None, version=_version(raw))
 
 
 def load(environment: Mapping[str, str] = os.environ, again: bool = False) -> Config:
--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -19,6 +19,7 @@
 BEAT_S, BEATS = 2.0, 2.5                # a line comes so often; after so many without one it is silent
 AGAIN_S = 0.5
 MOST_LINE = 4 << 20
+MOST_REV = (1 << 63) - 1                # what every keeper of versions can hold
 STATES = {"active": our.READY, "leaving": our.DRAINING, "left": our.GONE}
 log = logging.getLogger(__name__)
 
@@ -32,12 +33,13 @@
 
 
 class Watch:
-    """listed(mode, entries) hears of every list and change."""
+    """listed(mode, entries) hears of every list and change. told(line, source) hears of each before, and may
+    say no: the list stays as it was."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], kinds: tuple[str, ...],
-                 listed: Callable) -> None:
-        self._loop, self._where, self._kinds, self._listed = loop, where, kinds, listed
-        self._version = 0
+                 listed: Callable, told: Callable[[dict, str], bool] = lambda told, source: True) -> None:
+        self._loop, self._where, self._kinds, self._listed, self._told = loop, where, kinds, listed, told
+        self._version, self._heard_at = 0, loop.time()
         self._link: Link | None = None
         self._dial: Dial | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -47,7 +49,7 @@
 
     def start(self, known: dict) -> None:
         if known.get("targets") is not None:
-            self._line(json.dumps({**known, "all": True}).encode())
+            self._line(json.dumps({**known, "all": True}).encode(), "known")
         self._ask()
 
     def move(self, where: tuple[str, int], kinds: tuple[str, ...]) -> None:
@@ -58,6 +60,10 @@
             self._where, self._kinds = where, kinds
             self._ask()
 
+    def silent_ms(self) -> float:
+        """Since the watch last said anything."""
+        return (self._loop.time() - self._heard_at) * 1000.0
+
     def stop(self) -> None:
         self._stopped = True
         self._hang_up()
@@ -99,6 +105,7 @@
 
     def received(self, data: memoryview) -> None:
         self._rearm()
+        self._heard_at = self._loop.time()
         try:
             for event in self._reader.feed(data):
                 if isinstance(event, http1.Response) and event.status != 200:
@@ -119,14 +126,19 @@
             say(log, "the watch broke", logging.WARNING, problem=problem)
             self._again()
 
-    def _line(self, line: bytes | bytearray) -> bool:
+    def _line(self, line: bytes | bytearray, source: str = "") -> bool:
         """Reads a whole list or a change; what cannot be read leaves the list as it was."""
         try:
             told = json.loads(line)
             listed = entries(told["targets"], self._kinds)
-            self._version = told["rev"]
+            rev = told["rev"]
+            if isinstance(rev, bool) or not isinstance(rev, int) or not 0 <= rev <= MOST_REV:
+                raise ValueError(f"rev: {rev!r} is not a version")
         except (ValueError, KeyError, TypeError, AttributeError) as problem:
             say(log, "malformed list", logging.WARNING, problem=f"{type(problem).__name__}: {problem}")
             return False
+        if not self._told(told, source or "{}:{}".format(*self._where)):
+            return True
+        self._version = rev
         self._listed(our.WHOLE if told.get("all") else our.CHANGES, listed)
         return True
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -94,6 +94,10 @@
         except OSError:
             return ""
 
+    def unique(self) -> str:
+        """A name that nothing else has, on any machine."""
+        return os.urandom(8).hex()
+
     def folder(self, path: str) -> Folder:
         return Folder(path)
 
--- a/birchstack/net/operators.py
+++ b/birchstack/net/operators.py
@@ -11,7 +11,7 @@
 import logging
 import urllib.parse
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from birchstack.net import http1
 from birchstack.net.driver import Link
@@ -22,6 +22,7 @@
 MOST = 64                               # connections at once; the oldest is cut for a new one
 BODY = 4096                             # an operator's call brings no more than this
 PREFIX = "balancer"                     # of the names of the figures
+TRAIL = ("GET", "/fleet/trail")         # asked by keepers, where BALANCER_FLEET is set
 log = logging.getLogger(__name__)
 
 
@@ -32,15 +33,19 @@
     yes: bool
     text: str = ""
     status: int = 0                     # another than 200 or 400 where the form says more
+    content: bytes | None = None        # for programs, in place of the line
 
     def bytes(self) -> bytes:
-        body = self.text.encode() + (b"" if self.text.endswith("\n") or not self.text else b"\n")
-        return _answer(self.status or (200 if self.yes else 400), body)
+        status = self.status or (200 if self.yes else 400)
+        if self.content is not None:
+            return _answer(status, self.content, "application/octet-stream")
+        return _answer(status, self.text.encode() + (
+            b"" if self.text.endswith("\n") or not self.text else b"\n"))
 
 
-def _answer(status: int, body: bytes) -> bytes:
+def _answer(status: int, body: bytes, kind: str = "text/plain; charset=utf-8") -> bytes:
     head = f"HTTP/1.1 {status} {http1.REASONS.get(status, 'Status')}\r\n"
-    fields = f"Content-Type: text/plain; charset=utf-8\r\nContent-Length: {len(body)}\r\n" \
+    fields = f"Content-Type: {kind}\r\nContent-Length: {len(body)}\r\n" \
              "Connection: close\r\n\r\n"
     return (head + fields).encode("latin-1") + body
 
@@ -55,6 +60,7 @@
     listed: int                         # endpoints in the list
     avoided: int                        # of those, out by hand or avoided by the decisions
     reloads: tuple[int, int]            # configurations taken over, and not taken over
+    more: list[tuple[str, object]] = field(default_factory=list)    # of whoever keeps the record, if anybody
 
     def text(self) -> str:
         """In the operators' form: one name=value a line, with their names."""
@@ -63,7 +69,7 @@
         lines += [f"{PREFIX}.{word}={count}" for word, count in (
             ("tries", self.transmitted), ("active", self.held), ("pool_size", self.listed),
             ("pool_ejected", self.avoided), ("config_applied", self.reloads[0]),
-            ("config_rejected", self.reloads[1]))]
+            ("config_rejected", self.reloads[1]), *self.more)]
         return "\n".join(lines) + "\n"
 
 
@@ -77,6 +83,7 @@
     enable: Callable[[str], Answer]
     drain: Callable[[], Answer]
     undrain: Callable[[], Answer]
+    trail: Callable[[dict[str, list[str]]], Answer] | None = None   # where a record is kept
 
 
 class Caller:
@@ -159,7 +166,9 @@
         by_id = {("POST", "/endpoints/disable"): calls.disable, ("POST", "/endpoints/enable"): calls.enable}
         key = head.method, head.path
         try:
-            if key in plain:
+            if key == TRAIL and calls.trail:
+                answer = calls.trail(asked)
+            elif key in plain:
                 answer = plain[key]()
             elif key in by_id and len(ids) == 1 and ids[0]:
                 answer = by_id[key](ids[0])
@@ -170,7 +179,7 @@
         except Exception:               # a fault of the sender's part must still be answered
             log.exception("an operator's call failed")
             answer = Answer(False, "the call failed", 500)
-        if key not in (("GET", "/ready"), ("GET", "/metrics")):
+        if key not in (("GET", "/ready"), ("GET", "/metrics"), TRAIL):
             say(log, "operator's call", call=f"{head.method} {head.path}", id=",".join(ids) or "-",
                 yes=answer.yes, said=answer.text.splitlines()[0] if answer.text else "")
         return answer
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -9,12 +9,12 @@
 
 import asyncio
 import dataclasses
-import json
 import logging
 from collections import Counter
 
 from birchstack import interface as our
 from birchstack.decide import NEVER_RAN, Sender
+from birchstack.net.by_hand import ByHand
 from birchstack.net.calls import Call, Calls
 from birchstack.net.config import Config, ConfigError, load
 from birchstack.net.discovery import Watch
@@ -25,15 +25,15 @@
 from birchstack.net.notices import Notices
 from birchstack.net.operators import Answer, Door, Figures
 from birchstack.net.operators import Calls as Asked
+from birchstack.net.witness import Make, Moment
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5     # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
 REPORT_S = 60.0
 CLIENTS_SHARE, OTHERS = 40, 64  # of the descriptors, in hundredths; and what is no client and no call
-RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds")    # at SIGHUP
+RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds", "version")  # at SIGHUP
 REMEMBERED = 4096               # answers kept for ids that come again
 LOCK, LOOK_S = "lock", 0.05     # held by the process that sends from the folder; asked for so often meanwhile
-BY_HAND = "out-by-hand"         # the endpoints that operators took out, written whole
 log = logging.getLogger(__name__)
 
 
@@ -41,7 +41,7 @@
     """Carries out what the decisions say, and tells them what happens."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop,
-                 machine: Machine | None = None) -> None:
+                 machine: Machine | None = None, witness: Make | None = None) -> None:
         self._config, self._loop, self._began = config, loop, loop.time()
         self._machine = machine or Machine()
         folder = self._folder = self._machine.folder(config.state)
@@ -55,14 +55,16 @@
                             self._ended)
         types = {kind.name: kind.expiry_ms for kind in config.settings.types}
         self._front = Front(loop, types, clients, self._serves, self._handed)
-        self._watch = Watch(loop, config.discovery, config.kinds, self._listed)
+        self._watch = Watch(loop, config.discovery, config.kinds, self._listed, self._told)
         self._notices = Notices(loop, config.discovery, self._acknowledged)
         self._inbox: list[tuple] = []           # the events of this pass
         self._fresh: dict[str, Handed] = {}     # handed in during this turn, not yet answered
         self._starting: dict[str, Call] = {}    # calls that leave at the end of this turn
         self._answers: dict[str, tuple[str, float]] = {}    # by id, for those that come again
         self._entries: dict[str, our.Endpoint] = {}     # each endpoint listed, as discovery lists it
-        self._by_hand, self._back = self._read_by_hand()    # out by hand; put back, by the wall clock
+        self._by_hand = ByHand(folder, self._lasting.ms)
+        self._refused: list[str] = []           # in this turn, for the witness
+        self._failed: list[str] = []
         self._counted: Counter[tuple[str, int]] = Counter()    # by type: delivered, refused, failed
         self._reloads = [0, 0]
         self._destinations: dict[int, None] = {}    # those listed, the longest unheard of first
@@ -71,8 +73,10 @@
         self._closing_at: float | None = None
         self._ready = self._handing = False     # handing: another process waits to send what this one holds
         self._unheard: list[tuple[str, list]] = []  # lists, while another process holds the folder
-        asked = Asked(self._ready_now, self._figures, self._disable, self._enable, lambda: self._drain(True),
-                      lambda: self._drain(False))
+        self._witness = witness(config, self._machine, folder, self._moment) if witness else None
+        asked = Asked(self._ready_now, self._figures, lambda endpoint: self._by_hand_now(endpoint, True),
+                      lambda endpoint: self._by_hand_now(endpoint, False), lambda: self._drain(True),
+                      lambda: self._drain(False), self._witness.asked if self._witness else None)
         self._door = Door(loop, asked) if config.ops else None
         self.ended = loop.create_future()
 
@@ -85,6 +89,9 @@
         self._machine.on_signals(self._loop, self.close, self.reload)
         if self._door:
             await self._door.open(self._machine, self._config.ops)
+        if self._witness:
+            self._witness.begins(self._holds)
+            self._witness.settings(self._config, "start")
         self._watch.start(self._config.known)
         self._take_up()
         self._turn()
@@ -103,9 +110,10 @@
         self._answers.update({doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)})
         while len(self._answers) > REMEMBERED:
             del self._answers[next(iter(self._answers))]
-        for name in {**self._ledger.waits, **self._back}:     # before the documents: they may be held by it
+        back = self._by_hand.back
+        for name in {**self._ledger.waits, **back}:     # before the documents: they may be held by it
             wait_ms = self._ledger.waits.get(name, wall) - wall
-            back_ms = wall - self._back.get(name, wall + 1.0)
+            back_ms = wall - back.get(name, wall + 1.0)
             if wait_ms > 0.0 or back_ms >= 0.0:
                 self._inbox.append((self._core.recall, name, max(0.0, wait_ms), back_ms))
         for owed in [*self._ledger.owed.values()]:
@@ -137,9 +145,12 @@
         self._ledger.close()
         self._ledger = Ledger(self._folder, self._config.disk_bytes)
         self._core, self._holds = Sender(self._config.settings, self._config.seed, self), True
-        self._by_hand, self._back = self._read_by_hand()    # the other may have been told more meanwhile
+        self._by_hand.read()                    # the other may have been told more meanwhile
+        if self._witness:
+            self._witness.begins(True)
         for mode, listed in self._unheard:
-            self._inbox.append((self._core.endpoints, mode, [self._as_told(entry) for entry in listed]))
+            told = [self._by_hand.as_told(entry) for entry in listed]
+            self._inbox.append((self._core.endpoints, mode, told))
         self._unheard.clear()
         self._take_up()
         say(log, "holds the folder", owed=len(self._ledger.owed))
@@ -163,6 +174,9 @@
     def _handed(self, handed: Handed) -> None:
         self._happened(self._take_on, handed)
 
+    def _told(self, told: dict, source: str) -> bool:
+        return self._witness is None or self._witness.told(told, source)
+
     def _listed(self, mode: str, listed: list) -> None:
         if mode == our.WHOLE:                   # what it leaves out is gone
             named = {entry.name for entry, _ in listed}
@@ -181,7 +195,7 @@
         while len(self._destinations) > max(REMEMBERED, len(self._entries)):
             del self._destinations[next(iter(self._destinations))]
         if self._holds:
-            self._happened(self._core.endpoints, mode, [self._as_told(entry) for entry, _ in listed])
+            self._happened(self._core.endpoints, mode, [self._by_hand.as_told(entry) for entry, _ in listed])
             return
         if mode == our.WHOLE:                   # the decisions will hear of them when this process sends
             self._unheard.clear()
@@ -272,7 +286,7 @@
 
     def _answer(self, handed: Handed, verdict: str, wait_ms: float = 0.0) -> None:
         if verdict != TAKEN:
-            self._counted[handed.type, 2 if verdict == ABANDONED else 1] += 1
+            self._count(handed.id, handed.type, verdict == ABANDONED)
         self._answers[handed.id] = verdict, wait_ms
         if len(self._answers) > REMEMBERED:
             del self._answers[next(iter(self._answers))]
@@ -295,6 +309,7 @@
                 owed.due = now + handed.left_ms
                 self._answer(handed, TAKEN)
         starting, self._starting = self._starting, {}
+        leaving = []
         for call in starting.values():
             owed = self._ledger.owed.get(call.doc)
             if not holds(owed and owed.notice is None and call.endpoint in self._calls.addresses,
@@ -308,7 +323,17 @@
                 say(log, "not sent", logging.ERROR, problem=problem)
                 self._unsent(call)
             else:
-                self._calls.begin(call)
+                leaving.append(call)
+        if self._witness and (leaving or self._refused or self._failed):
+            self._witness.turn([(call.doc, call.endpoint) for call in leaving], self._refused, self._failed)
+        self._refused, self._failed = [], []
+        for call in leaving:
+            self._calls.begin(call)
+
+    def _count(self, doc_id: str, kind: str, failed: bool) -> None:
+        """A document ended undelivered."""
+        self._counted[kind, 2 if failed else 1] += 1
+        (self._failed if failed else self._refused).append(doc_id)
 
     def _unsent(self, call: Call | None) -> None:
         if call:
@@ -343,7 +368,7 @@
     def _owe_notice(self, doc_id: str, result: str, wait_ms: float) -> None:
         owed = self._ledger.owed.get(doc_id)
         if holds(owed and owed.notice is None, "a document has one end"):
-            self._counted[owed.type, 2 if result == "dead" else 1] += 1
+            self._count(owed.id, owed.type, result == "dead")
             self._ledger.notice(owed, result, wait_ms)
             self._notices.tell(doc_id, result, wait_ms)
 
@@ -376,66 +401,29 @@
             return Answer(False, "closing", 503)
         return Answer(True, "ready") if self._ready else Answer(False, "starting", 503)
 
+    def _moment(self) -> Moment:
+        return Moment(self._ready_now().yes, len(self._ledger.owed), self._watch.silent_ms())
+
     def _figures(self) -> Figures:
         types = [kind.name for kind in self._config.settings.types]
         types += sorted({name for name, _ in self._counted if name not in types})
-        by_hand = [name for name in self._by_hand if name in self._entries]
-        avoided = len(by_hand) + sum(name not in self._by_hand for name in self._core.avoided())
+        out = self._by_hand.out
+        avoided = sum(name in self._entries for name in out) + sum(
+            name not in out for name in self._core.avoided())
         held = sum(owed.notice is None for owed in self._ledger.owed.values())
         return Figures({name: tuple(self._counted[name, at] for at in range(3)) for name in types},
-                       self._calls.transmitted, held, len(self._entries), avoided, tuple(self._reloads))
-
-    def _as_told(self, entry: our.Endpoint) -> our.Endpoint:
-        """Out by hand counts as draining, whatever discovery lists; what is gone is gone."""
-        if entry.name in self._by_hand and entry.state == our.READY:
-            return dataclasses.replace(entry, state=our.DRAINING)
-        return entry
-
-    def _read_by_hand(self) -> tuple[dict[str, None], dict[str, float]]:
-        try:
-            told = json.loads(self._folder.read(BY_HAND))
-            return ({str(name): None for name in told["out"][-REMEMBERED:]},
-                    {str(name): float(when) for name, when in [*told["back"].items()][-REMEMBERED:]})
-        except FileNotFoundError:
-            return {}, {}
-        except (OSError, ValueError, TypeError, KeyError, AttributeError) as problem:   # only a broken disk
-            say(log, "endpoints out by hand not read", logging.ERROR, problem=problem)
-            return {}, {}
+                       self._calls.transmitted, held, len(self._entries), avoided, tuple(self._reloads),
+                       self._witness.figures() if self._witness else [])
 
     def _by_hand_now(self, endpoint: str, out: bool) -> Answer:
-        """Takes an endpoint out, or lets it serve again: on disk before the yes, for the next process too."""
-        if not out and endpoint not in self._by_hand or out and endpoint in self._by_hand:
-            return Answer(True, f"{endpoint} {'out' if out else 'in'} already")
-        if out and len(self._by_hand) >= REMEMBERED:
-            return Answer(False, f"{REMEMBERED} endpoints are out by hand already", 409)
-        wanted = {**self._by_hand, endpoint: None} if out else {
-            name: None for name in self._by_hand if name != endpoint}
-        back = {name: when for name, when in self._back.items() if name != endpoint}
-        if not out:
-            back[endpoint] = self._lasting.ms()
-        while len(back) > REMEMBERED:
-            del back[next(iter(back))]
-        try:
-            self._folder.write(BY_HAND + ".new", json.dumps({"out": [*wanted], "back": back}).encode())
-            self._folder.rename(BY_HAND + ".new", BY_HAND)
-        except OSError as problem:
-            say(log, "endpoints out by hand not written", logging.ERROR, problem=problem)
-            return Answer(False, "the folder cannot be written", 503)
-        self._by_hand, self._back = wanted, back
-        entry = self._entries.get(endpoint)
-        if entry and self._holds:
-            self._happened(self._core.endpoints, our.CHANGES, [self._as_told(entry)])
-        return Answer(True, f"{endpoint} {'out' if out else 'in'}")
-
-    def _disable(self, endpoint: str) -> Answer:
-        if endpoint not in self._entries and endpoint not in self._by_hand:
+        if endpoint not in self._entries and endpoint not in self._by_hand.out:
             return Answer(False, f"id: {endpoint!r} is not listed", 404)
-        return self._by_hand_now(endpoint, True)
-
-    def _enable(self, endpoint: str) -> Answer:
-        if endpoint not in self._entries and endpoint not in self._by_hand:
-            return Answer(False, f"id: {endpoint!r} is not listed", 404)
-        return self._by_hand_now(endpoint, False)
+        if out == (endpoint in self._by_hand.out):
+            return Answer(True, f"{endpoint} {'out' if out else 'in'} already")
+        answer, entry = self._by_hand.set(endpoint, out), self._entries.get(endpoint)
+        if answer.yes and entry and self._holds:
+            self._happened(self._core.endpoints, our.CHANGES, [self._by_hand.as_told(entry)])
+        return answer
 
     def _drain(self, drained: bool) -> Answer:
         """Clients are sent away, and what is held is still sent; the sender stays."""
@@ -463,6 +451,8 @@
         self._config = dataclasses.replace(self._config, **{name: getattr(fresh, name) for name in RELOADED})
         self._front.types = {kind.name: kind.expiry_ms for kind in fresh.settings.types}
         self._calls.idle_ms, self._calls.dial_ms = fresh.idle_ms, fresh.dial_ms
+        if self._witness:
+            self._witness.settings(self._config, "reload")
         if changed:
             self._happened(self._core.adopt, fresh.settings)
         self._watch.move(fresh.discovery, fresh.kinds)
@@ -515,5 +505,7 @@
         self._calls.close()
         if self._door:
             self._door.close()
+        if self._witness:
+            self._witness.ended()
         if not self.ended.done():
             self.ended.set_result(None)
--- /dev/null
+++ b/birchstack/net/witness.py
@@ -0,0 +1,52 @@
+"""What a sender tells whoever keeps the record of what it acts on; without one, nothing of this is done.
+
+Owns the form only. A witness must never raise into the sender, and never hold it up longer than one write to
+its folder takes. The one there is: birchstack.fleet.witness, switched on by BALANCER_FLEET.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from birchstack.net.config import Config
+from birchstack.net.machine import Folder, Machine
+from birchstack.net.operators import Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """What a sender is at, for who asks from outside. heard_ms: since its watch of the list last said
+    anything, a beat too."""
+
+    ready: bool
+    held: int
+    heard_ms: float
+
+
+class Witness(Protocol):
+    def begins(self, holds: bool) -> None:
+        """A process begins, before it acts; holds: the folder is its own. Called again when that becomes
+        so."""
+
+    def settings(self, config: Config, source: str) -> None:
+        """Before the settings are acted on."""
+
+    def told(self, told: dict, source: str) -> bool:
+        """A list or a change that could be read, before it is acted on. False: stay on what is held."""
+
+    def turn(self, calls: list[tuple[str, str]], refused: list[str], failed: list[str]) -> None:
+        """One turn: before the calls (document, endpoint) begin; documents refused and failed in it."""
+
+    def asked(self, query: dict[str, list[str]]) -> Answer:
+        """An operator's call for the trail."""
+
+    def figures(self) -> list[tuple[str, object]]:
+        """More figures for the operators' door: name and value."""
+
+    def ended(self) -> None:
+        """The process ends by itself, and acts no more."""
+
+
+Make = Callable[[Config, Machine, Folder, Callable[[], Moment]], Witness]
