--- a/birchstack/emulator/network.py
+++ b/birchstack/emulator/network.py
@@ -35,7 +35,17 @@
 class Host:
     """One listening address of the model or of a process, and the machine behind it."""
 
-    __slots__ = ("accept", "refusing", "dark", "wires", "name", "forgets_ms", "forgets_silently", "process")
+    __slots__ = (
+        "accept",
+        "refusing",
+        "dark",
+        "wires",
+        "name",
+        "forgets_ms",
+        "forgets_silently",
+        "process",
+        "where",
+    )
 
     def __init__(self, name: str, accept: Callable[[Wire], End], process: ProcessLoop | None = None) -> None:
         self.name, self.accept, self.process = name, accept, process
@@ -43,6 +53,7 @@
         self.forgets_ms = 0.0  # something on the way forgets connections idle for so long
         self.forgets_silently = False
         self.wires: dict[Wire, None] = {}
+        self.where: Address | None = None
 
 
 class Wire:
@@ -329,6 +340,7 @@
             return made
 
         host = self.hosts[where] = Host(name, end)
+        host.where = where
         return host
 
     def reach(self, where: Address, peer: Peer, refused: Callable[[], None]) -> None:
--- /dev/null
+++ b/birchstack/emulator/rig/site.py
@@ -0,0 +1,94 @@
+"""What a rig's processes are told: configurations of senders and keepers, files of the fleet.
+
+Owns these texts, in the platform's own words. Must never start anything.
+"""
+
+from __future__ import annotations
+
+import json
+
+SETTINGS = {
+    "registryMode": "pushed",
+    "hostTypes": ["partner"],
+    "domain": {"callsOut": 16, "losesWorth": "linear", "perCall": [1], "routesApart": [False]},
+    "limits": {
+        "connIdleMs": 10000.0,
+        "dialTimeoutMs": 500.0,
+        "maxOpen": 400,
+        "maxRetryAfterMs": 3000.0,
+        "retryAfter": True,
+        "sendCap": 6,
+        "streamsPerConn": 1,
+    },
+    "rules": {"answerSlackMs": 20.0, "coldFrom": 0.3, "warmUpMs": 1000.0},
+    "services": [
+        {
+            "name": name,
+            "effect": effect,
+            "objectiveMs": 2000.0,
+            "deadlineMs": 20000.0,
+            "importance": 1.0,
+            "lateShare": 0.4,
+        }
+        for name, effect in (("sync", "safe"), ("order", "keyed"), ("pay", "unsafe"))
+    ],
+}
+FLEET = "[trail]\nbytes = 400000\n"
+
+
+def entry(uid: str, destination: int, state: str = "active") -> dict:
+    """One line of the list, but for its address, which each sender is told for itself."""
+    return {
+        "uid": uid,
+        "az": "a",
+        "model": "partner",
+        "pod_group": destination,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
+    }
+
+
+def sender(
+    name: str,
+    listen: str,
+    ops: str,
+    lists: str,
+    state: str,
+    seed: int,
+    known: dict,
+    senders: int,
+    **more: object,
+) -> dict:
+    return {
+        "name": name,
+        "listen": listen,
+        "ops": ops,
+        "discovery": lists,
+        "state": state,
+        "seed": f"{seed:x}",
+        "limits": {"sockets": 1024, "disk_mb": 3},
+        "known": known,
+        "settings": {**SETTINGS, "nInstances": senders},
+        **more,
+    }
+
+
+def keeper(
+    name: str,
+    store: str,
+    doors: dict[str, list[str]],
+    lists: str | None,
+    every_s: float = 0.2,
+    **more: object,
+) -> str:
+    """doors: by sender, its own and those of processes that follow it."""
+    text = [f"name = {json.dumps(name)}", f"store = {json.dumps(store)}"]
+    text += [f"{key} = {json.dumps(value)}" for key, value in more.items()]
+    if lists:
+        text.append(f"[lists]\nat = {json.dumps(lists)}")
+    text.append(f"[asks]\nevery_s = {every_s}\ntimeout_s = 1.0\npause_s = 1.0")
+    for sender_name, (first, *also) in doors.items():
+        text.append(f"[[senders]]\nname = {json.dumps(sender_name)}\nat = {json.dumps(first)}")
+        text.append(f"also = {json.dumps(also)}")
+    return "\n".join(text) + "\n"
--- a/birchstack/emulator/sockets.py
+++ b/birchstack/emulator/sockets.py
@@ -45,7 +45,7 @@
     """One listening address of the model."""
 
     def __init__(self, stage: Stage, where: tuple[str, int], name: str, accept: Callable[[], object]) -> None:
-        self._stage, self._where, self.name, self._accept = stage, where, name, accept
+        self._stage, self.where, self.name, self._accept = stage, where, name, accept
         self.refusing = self.dark = False
         self.forgets_ms, self.forgets_silently = 0.0, False
         self.ends: dict[End, None] = {}
@@ -54,9 +54,10 @@
 
     def listen(self) -> None:
         try:
-            door = socket.create_server(self._where, backlog=256)
+            door = socket.create_server(self.where, backlog=256)
         except OSError as problem:
-            raise SocketError(f"{self._where[0]}:{self._where[1]}: {problem.strerror}") from problem
+            raise SocketError(f"{self.where[0]}:{self.where[1]}: {problem.strerror}") from problem
+        self.where = door.getsockname()[:2]  # port 0: one that was free
         self._stage.start(self._serve(door))
 
     async def _serve(self, door: socket.socket) -> None:
@@ -192,7 +193,7 @@
 
     def serve(self, where: tuple[str, int], name: str, accept: Callable[[], object]) -> Host:
         for host in self.hosts:
-            if host._where == where:  # another takes the address over
+            if host.where == where:  # another takes the address over
                 host.close()
         host = Host(self, where, name, accept)
         self.hosts.append(host)
--- a/birchstack/fleet/records.py
+++ b/birchstack/fleet/records.py
@@ -29,10 +29,10 @@
 HEAD = struct.Struct("<2sIQ16s")
 SUM = struct.Struct("<I")
 MARK = b"\xce\x5a"
-OVER = HEAD.size + SUM.size             # bytes of a frame besides its payload
+OVER = HEAD.size + SUM.size  # bytes of a frame besides its payload
 WIDTH = 16
-START = bytes(WIDTH)                    # the chain before the first frame
-MOST = 1 << 20                          # a longer payload is no record
+START = bytes(WIDTH)  # the chain before the first frame
+MOST = 1 << 20  # a longer payload is no record
 NUMBER = struct.Struct("<Q")
 
 
@@ -127,8 +127,8 @@
 
     first: int
     last: int
-    chain: bytes                        # of the record `last`
-    state: State                        # after it
+    chain: bytes  # of the record `last`
+    state: State  # after it
     totals: tuple[Total, ...]
     gaps: tuple[Gap, ...] = ()
 
@@ -140,7 +140,7 @@
 
 def after(state: State, number: int, record: Record) -> State:
     """What holds once the record of that number is read."""
-    if isinstance(record, Life):        # a process knows nothing of what the one before it acted on
+    if isinstance(record, Life):  # a process knows nothing of what the one before it acted on
         return State(record.life, record.name, record.boot, {}, number, record.steady_ms)
     if isinstance(record, Adopted) and record.taken:
         versions = {**state.versions, record.version.kind: record.version}
@@ -206,13 +206,13 @@
 
 
 def _at(data: bytes, at: int) -> Frame | None:
-    if data[at:at + 2] != MARK or len(data) - at < OVER:
+    if data[at : at + 2] != MARK or len(data) - at < OVER:
         return None
     _, length, number, chain = HEAD.unpack_from(data, at)
     if length > MOST or len(data) - at < OVER + length:
         return None
-    payload = data[at + OVER:at + OVER + length]
-    head = data[at:at + HEAD.size]
+    payload = data[at + OVER : at + OVER + length]
+    head = data[at : at + HEAD.size]
     if SUM.unpack_from(data, at + HEAD.size)[0] != zlib.crc32(payload, zlib.crc32(head)):
         return None
     return Frame(number, chain, payload, at, OVER + length)
--- a/birchstack/fleet/settings.py
+++ b/birchstack/fleet/settings.py
@@ -15,8 +15,8 @@
 from birchstack.fleet.versions import TAKE, Back
 from birchstack.net.config import Config, ConfigError
 
-LEAST_ROOM = 500_000                    # bytes that stay for what is owed
-BLOCKS = 32 * 512                       # files count in whole blocks
+LEAST_ROOM = 500_000  # bytes that stay for what is owed
+BLOCKS = 32 * 512  # files count in whole blocks
 
 
 class Trail(Struct, frozen=True, forbid_unknown_fields=True):
@@ -52,6 +52,8 @@
         raise ConfigError("ops: missing; BALANCER_FLEET is set, and keepers ask there for the trail")
     left = config.disk_bytes - told.trail.bytes - BLOCKS
     if left < LEAST_ROOM:
-        raise ConfigError(f"BALANCER_FLEET: trail.bytes: {told.trail.bytes} leaves less than {LEAST_ROOM} of "
-                          f"limits.disk_mb ({config.disk_bytes}) for documents")
+        raise ConfigError(
+            f"BALANCER_FLEET: trail.bytes: {told.trail.bytes} leaves less than {LEAST_ROOM} of "
+            f"limits.disk_mb ({config.disk_bytes}) for documents"
+        )
     return dataclasses.replace(config, disk_bytes=left)
--- a/birchstack/fleet/shelf.py
+++ b/birchstack/fleet/shelf.py
@@ -35,7 +35,7 @@
 from birchstack.net.machine import Folder
 
 PREFIX, FOLDED, SOUND = "trail-", "-folded", "trail-sound"
-AGAIN_MS = 500.0                        # a disk that failed is tried again so much later
+AGAIN_MS = 500.0  # a disk that failed is tried again so much later
 log = logging.getLogger(__name__)
 
 
@@ -45,31 +45,35 @@
     def __init__(self, folder: Folder, limit: int, unique: Callable[[], str]) -> None:
         self._folder, self._limit = folder, limit
         self._handle = -1
-        self._lost: list[Record] = []           # not kept: no acts among them, the last of each kind
+        self._lost: list[Record] = []  # not kept: no acts among them, the last of each kind
         self._lost_calls, self._lost_from = 0, 0.0
         self._again_at = 0.0
-        self._doubtful: list[Gap] = []          # found at the start, recorded after the Life
+        self._doubtful: list[Gap] = []  # found at the start, recorded after the Life
         self.trail = self._recover(unique)
 
     # At the start
 
     def _recover(self, unique: Callable[[], str]) -> Trail:
         try:
-            names = sorted(name for name in self._folder.names() if name.startswith(PREFIX)
-                           and not name.endswith(".new") and name != SOUND)
+            names = sorted(
+                name
+                for name in self._folder.names()
+                if name.startswith(PREFIX) and not name.endswith(".new") and name != SOUND
+            )
         except OSError:
             names = []
-        owners = sorted({name[len(PREFIX):].partition("-")[0] for name in names})
+        owners = sorted({name[len(PREFIX) :].partition("-")[0] for name in names})
         if not owners:
             self._mark_sound()
             return Trail(unique(), self._limit)
         if len(owners) > 1:
-            say(log, "several trails in one folder", logging.ERROR, names=",".join(owners),
-            goes_on=owners[-1])
+            say(
+                log, "several trails in one folder", logging.ERROR, names=",".join(owners), goes_on=owners[-1]
+            )
         trail = Trail(owners[-1], self._limit)
         mine = [name for name in names if name.startswith(f"{PREFIX}{trail.name}-")]
         for name in reversed([name for name in mine if name.endswith(FOLDED)]):
-            if trail.folded:                    # older totals: a process ended before they went
+            if trail.folded:  # older totals: a process ended before they went
                 self._unlink(name)
             else:
                 self._take_folded(trail, name)
@@ -106,7 +110,7 @@
             say(log, "a segment of the trail cannot be read", logging.ERROR, file=name, problem=problem)
             return
         first = int(name.rpartition("-")[2])
-        if trail.folded and first <= trail.folded.last:     # folded, and a process ended before it went
+        if trail.folded and first <= trail.folded.last:  # folded, and a process ended before it went
             self._unlink(name)
             return
         trail.begin(first)
@@ -123,8 +127,15 @@
             if not trail.take(each):
                 until = time_of(each.record()) or before
                 lost = each.number - expected
-                self._doubtful.append(Gap(before, until, f"rot: {lost} records from {expected}" if lost else
-                                          f"altered at record {each.number}"))
+                self._doubtful.append(
+                    Gap(
+                        before,
+                        until,
+                        f"rot: {lost} records from {expected}"
+                        if lost
+                        else f"altered at record {each.number}",
+                    )
+                )
                 rotten = True
         if torn:
             say(log, "the trail's last record was not whole", file=name)
@@ -148,7 +159,7 @@
             self._lose(record, now_ms)
             return False
         if isinstance(record, Life):
-            known = self.trail.gaps()           # rot that was cut out still shows as a jump of numbers
+            known = self.trail.gaps()  # rot that was cut out still shows as a jump of numbers
             for gap in self._doubtful:
                 if (gap.from_ms, gap.why) not in known:
                     self._keep(Gap(gap.from_ms, gap.to_ms or now_ms, gap.why, gap.calls))
@@ -167,7 +178,7 @@
                 raise OSError("no room")
         except OSError as problem:
             say(log, "a record of the trail was not kept", logging.ERROR, problem=problem)
-            self._close()               # what was half written lies at a file's end, where it counts as torn
+            self._close()  # what was half written lies at a file's end, where it counts as torn
             return False
         trail.put(record, data, chain)
         return True
@@ -195,7 +206,7 @@
         try:
             self._folder.write(name + ".new", frame_of_folded(folded))
             self._folder.rename(name + ".new", name)
-        except OSError as problem:      # over the bound for now; tried again with the next segment
+        except OSError as problem:  # over the bound for now; tried again with the next segment
             say(log, "the trail was not folded", logging.ERROR, problem=problem)
             return False
         if trail.folded:
@@ -226,8 +237,11 @@
             self._lost_calls += len(record.calls) // 2
             return
         if isinstance(record, Adopted):
-            self._lost = [each for each in self._lost if not (
-                isinstance(each, Adopted) and each.version.kind == record.version.kind)]
+            self._lost = [
+                each
+                for each in self._lost
+                if not (isinstance(each, Adopted) and each.version.kind == record.version.kind)
+            ]
         self._lost.append(record)
 
     def _recovered(self, now_ms: float) -> bool:
--- a/birchstack/fleet/trail.py
+++ b/birchstack/fleet/trail.py
@@ -16,6 +16,7 @@
 from birchstack.fleet.records import (
     START,
     Acted,
+    Adopted,
     Folded,
     Frame,
     Gap,
@@ -30,9 +31,9 @@
     time_of,
 )
 
-SEGMENTS = 8                            # the bound on bytes holds so many, one of them for what is folded
-TOTALS, TALLIES, GAPS = 64, 256, 64     # kept when folded; beyond, the oldest are put together
-REST = ""                               # the endpoint under which those beyond TALLIES are counted
+SEGMENTS = 8  # the bound on bytes holds so many, one of them for what is folded
+TOTALS, TALLIES, GAPS = 64, 256, 64  # kept when folded; beyond, the oldest are put together
+REST = ""  # the endpoint under which those beyond TALLIES are counted
 
 
 class Sums:
@@ -42,7 +43,7 @@
 
     def __init__(self, number: int, state: State, from_ms: float) -> None:
         self.number, self.state, self.from_ms, self.to_ms = number, state, from_ms, from_ms
-        self.tallies: dict[str, list] = {}      # by endpoint: calls, first, last
+        self.tallies: dict[str, list] = {}  # by endpoint: calls, first, last
         self.rejected, self.abandoned, self.mixed = 0, 0, False
 
     @staticmethod
@@ -83,15 +84,32 @@
         """Another stretch put together with this one; what they do not share is left open."""
         a, b, self.mixed = self.state, more.state, True
         versions = {kind: version for kind, version in a.versions.items() if b.versions.get(kind) == version}
-        self.state = State(a.life if a.life == b.life else "", a.name if a.name == b.name else "",
-                           a.boot if a.boot == b.boot else "", versions, a.stretch, a.from_ms)
+        self.state = State(
+            a.life if a.life == b.life else "",
+            a.name if a.name == b.name else "",
+            a.boot if a.boot == b.boot else "",
+            versions,
+            a.stretch,
+            a.from_ms,
+        )
         self.add(more)
 
     def total(self) -> Total:
         state = self.state
         tallies = tuple(Tally(name, *words) for name, words in self.tallies.items())
-        return Total(self.number, state.life, state.name, state.boot, state.versions, self.from_ms,
-                     self.to_ms, tallies, self.rejected, self.abandoned, self.mixed)
+        return Total(
+            self.number,
+            state.life,
+            state.name,
+            state.boot,
+            state.versions,
+            self.from_ms,
+            self.to_ms,
+            tallies,
+            self.rejected,
+            self.abandoned,
+            self.mixed,
+        )
 
 
 class Segment:
@@ -100,8 +118,8 @@
     __slots__ = ("first", "state", "chain", "data", "numbers", "offsets", "sums", "gaps")
 
     def __init__(self, first: int, state: State) -> None:
-        self.first, self.state = first, state   # state: after its last record
-        self.chain = START                      # of its last record
+        self.first, self.state = first, state  # state: after its last record
+        self.chain = START  # of its last record
         self.data, self.numbers, self.offsets = bytearray(), array("Q"), array("L")
         self.sums: list[Sums] = []
         self.gaps: list[Gap] = []
@@ -118,8 +136,8 @@
             return
         state = after(self.state, number, record)
         if state.stretch != self.state.stretch:
-            if self.sums and self.state.boot == state.boot:
-                self.sums[-1].to_ms = state.from_ms     # a stretch lasts until the next one begins
+            if self.sums and isinstance(record, Adopted):
+                self.sums[-1].to_ms = state.from_ms  # a stretch lasts until the next one begins
             self.sums.append(Sums(state.stretch, state, state.from_ms))
         elif isinstance(record, Gap):
             self.gaps.append(record)
@@ -134,7 +152,7 @@
         if len(self.data) - begin <= most:
             return bytes(self.data[begin:])
         end = max(bisect_right(self.offsets, begin + most) - 1, at + 1)
-        return bytes(self.data[begin:self.offsets[end] if end < len(self.offsets) else len(self.data)])
+        return bytes(self.data[begin : self.offsets[end] if end < len(self.offsets) else len(self.data)])
 
     def frames(self) -> Iterator[Frame]:
         for each in scan(bytes(self.data)):
@@ -156,9 +174,14 @@
     while len(gaps) > GAPS:
         known = -1 if -1 in (gaps[0].calls, gaps[1].calls) else gaps[0].calls + gaps[1].calls
         gaps[:2] = [Gap(gaps[0].from_ms, gaps[1].to_ms, "several gaps", known)]
-    return Folded(before.first if before else segment.first, segment.numbers[-1], segment.chain,
-    segment.state,
-                  tuple(each.total() for each in kept), tuple(gaps))
+    return Folded(
+        before.first if before else segment.first,
+        segment.numbers[-1],
+        segment.chain,
+        segment.state,
+        tuple(each.total() for each in kept),
+        tuple(gaps),
+    )
 
 
 class Trail:
@@ -168,7 +191,7 @@
         """limit: bytes of all segments and of what is folded."""
         self.name, self._limit = name, limit
         self.last, self.chain, self.state = 0, START, State()
-        self.last_ms = 0.0              # the time of the last record, by the steady clock of its boot
+        self.last_ms = 0.0  # the time of the last record, by the steady clock of its boot
         self.folded: Folded | None = None
         self._folded = b""
         self.segments: deque[Segment] = deque()
@@ -226,8 +249,9 @@
     def too_much(self) -> bool:
         """The oldest segment has to be folded: there is no room, or too many small ones."""
         held = sum(len(each.data) for each in self.segments) + len(self._folded)
-        return len(self.segments) > 1 and (held > self._limit - self.segment_bytes
-                                           or len(self.segments) > 2 * SEGMENTS)
+        return len(self.segments) > 1 and (
+            held > self._limit - self.segment_bytes or len(self.segments) > 2 * SEGMENTS
+        )
 
     def fold(self) -> Folded:
         """What the oldest segment and what is folded already come to; nothing changes until folds()."""
@@ -243,8 +267,11 @@
     def gaps(self) -> set[tuple[float, str]]:
         """Those recorded: since when, and why."""
         folded = self.folded.gaps if self.folded else ()
-        return {(gap.from_ms, gap.why) for gaps in (folded, *(each.gaps for each in self.segments))
-                for gap in gaps}
+        return {
+            (gap.from_ms, gap.why)
+            for gaps in (folded, *(each.gaps for each in self.segments))
+            for gap in gaps
+        }
 
     def piece(self, number: int, most: int) -> bytes:
         """Whole frames beyond number, some of most bytes; what is folded comes as one frame before them."""
@@ -263,4 +290,3 @@
             if len(part) < len(segment.data) and not segment.data.endswith(part):
                 break
         return b"".join(parts)
-
--- a/birchstack/fleet/versions.py
+++ b/birchstack/fleet/versions.py
@@ -16,11 +16,11 @@
 LIST, SETTINGS, PROGRAM, DECISIONS, FORM = "list", "settings", "program", "decisions", "form"
 KINDS = (LIST, SETTINGS, PROGRAM, DECISIONS, FORM)
 NEWER, OLDER, SAME, FORKED, FOREIGN, APART = "newer", "older", "same", "forked", "foreign", "apart"
-FIRST = "first"                         # nothing was held before
-TAKE, HOLD = "take", "hold"             # what a list that goes back, or is forked, is met with
+FIRST = "first"  # nothing was held before
+TAKE, HOLD = "take", "hold"  # what a list that goes back, or is forked, is met with
 Back = Literal["take", "hold"]
-WIDTH = 16                              # bytes of every digest here
-MOST_NUMBER = (1 << 63) - 1             # what fits wherever a number is kept
+WIDTH = 16  # bytes of every digest here
+MOST_NUMBER = (1 << 63) - 1  # what fits wherever a number is kept
 
 
 class Version(msgspec.Struct, frozen=True, array_like=True):
@@ -101,7 +101,7 @@
     __slots__ = ("states", "_parts", "_sum")
 
     def __init__(self) -> None:
-        self.states: dict[str, str] = {}    # by uid: state, as told
+        self.states: dict[str, str] = {}  # by uid: state, as told
         self._parts: dict[str, int] = {}
         self._sum = 0
 
@@ -132,5 +132,6 @@
         return changed
 
     def digest(self) -> str:
-        return digest_of((self._sum % (1 << 8 * WIDTH)).to_bytes(WIDTH, "little")
-                         + len(self._parts).to_bytes(8, "little"))
+        return digest_of(
+            (self._sum % (1 << 8 * WIDTH)).to_bytes(WIDTH, "little") + len(self._parts).to_bytes(8, "little")
+        )
--- a/birchstack/fleet/wire.py
+++ b/birchstack/fleet/wire.py
@@ -10,7 +10,7 @@
 from birchstack.fleet.versions import Version
 
 PATH = "/fleet/trail"
-MOST = 256 << 10                        # bytes of frames in one answer at most
+MOST = 256 << 10  # bytes of frames in one answer at most
 USUAL = 64 << 10
 
 
@@ -32,8 +32,8 @@
     chain: bytes = b""
     failing: bool = False
     versions: dict[str, Version] = {}
-    list_ms: float = 0.0                # when the list acted on was adopted, by the steady clock
-    heard_ms: float = 0.0               # since the watch of the list last said anything
+    list_ms: float = 0.0  # when the list acted on was adopted, by the steady clock
+    heard_ms: float = 0.0  # since the watch of the list last said anything
     ready: bool = True
     held: int = 0
     frames: bytes = b""
--- a/birchstack/fleet/witness.py
+++ b/birchstack/fleet/witness.py
@@ -49,19 +49,22 @@
     root = Path(birchstack.__file__).parent
     mine = [path for path in sorted(root.rglob("*.py")) if "emulator" not in path.parts]
     whole = b"".join(digest_of(path.read_bytes()).encode() for path in mine)
-    return (Version(PROGRAM, "birchstack", "", None, digest_of(whole)),
-            Version(DECISIONS, "birchstack", "", None, digest_of((root / "decide.py").read_bytes())))
+    return (
+        Version(PROGRAM, "birchstack", "", None, digest_of(whole)),
+        Version(DECISIONS, "birchstack", "", None, digest_of((root / "decide.py").read_bytes())),
+    )
 
 
 class Keeping:
     """The witness of one process."""
 
-    def __init__(self, told: Fleet, config: Config, machine: Machine, folder: Folder,
-                 moment: Callable[[], Moment]) -> None:
+    def __init__(
+        self, told: Fleet, config: Config, machine: Machine, folder: Folder, moment: Callable[[], Moment]
+    ) -> None:
         self._told, self._config, self._machine = told, config, machine
         self._folder, self._moment = folder, moment
         self._process, self._boot = machine.unique(), machine.boot()
-        self._shelf: Shelf | None = None        # none while another process holds the folder
+        self._shelf: Shelf | None = None  # none while another process holds the folder
         self._versions: dict[str, Version] = {}
         self._contents = Contents()
         self._list_ms = 0.0
@@ -75,7 +78,7 @@
             self._shelf = Shelf(self._folder, self._told.trail.bytes, self._machine.unique)
             now, wall = self._machine.steady_ms(), self._machine.wall_ms()
             self._shelf.write(Life(self._process, self._config.name, self._boot, wall, now), now)
-            for adopted in self._waiting.values():      # acted on from now on
+            for adopted in self._waiting.values():  # acted on from now on
                 self._shelf.write(msgspec.structs.replace(adopted, wall_ms=wall, steady_ms=now), now)
             if self._refused:
                 self._shelf.write(Acted(now, (), self._refused), now)
@@ -95,8 +98,11 @@
             self._waiting[version.kind] = record
 
     def settings(self, config: Config, source: str) -> None:
-        words = {name: value for name, value in dataclasses.asdict(config).items()
-                 if name in ("settings", "idle_ms", "dial_ms", "kinds")}
+        words = {
+            name: value
+            for name, value in dataclasses.asdict(config).items()
+            if name in ("settings", "idle_ms", "dial_ms", "kinds")
+        }
         version = Version(SETTINGS, "BALANCER_CONFIG", "", config.version, digest_of_words(words))
         held = self._versions.get(SETTINGS)
         order = compare(version, held) if held else FIRST
@@ -110,20 +116,34 @@
         held = self._versions.get(LIST)
         verdict = judge_list(version, held, self._told.list.back)
         if verdict.loud:
-            say(log, "the list told does not follow the one held", logging.WARNING, order=verdict.order,
-                told=version, held=held, source=source, taken=verdict.take)
+            say(
+                log,
+                "the list told does not follow the one held",
+                logging.WARNING,
+                order=verdict.order,
+                told=version,
+                held=held,
+                source=source,
+                taken=verdict.take,
+            )
         if verdict.order == SAME:
             self._contents = contents
             return True
         self._adopt(version, verdict.order, source, verdict.take)
         if verdict.take:
             self._contents, self._list_ms = contents, self._machine.steady_ms()
-            say(log, "list adopted", version=version, order=verdict.order, source=source,
-                endpoints=len(contents.states))
+            say(
+                log,
+                "list adopted",
+                version=version,
+                order=verdict.order,
+                source=source,
+                endpoints=len(contents.states),
+            )
         return verdict.take
 
     def turn(self, calls: list[tuple[str, str]], refused: list[str], failed: list[str]) -> None:
-        if self._shelf is None:         # a process that waits begins no call
+        if self._shelf is None:  # a process that waits begins no call
             self._refused += len(refused) + len(failed)
             return
         now = self._machine.steady_ms()
@@ -141,27 +161,50 @@
     def figures(self) -> list[tuple[str, object]]:
         held = self._versions.get(LIST)
         now = self._machine.steady_ms()
-        return [("list_number", held.number if held else -1), ("list_digest", held.digest if held else "-"),
-                ("list_age_ms", int(now - self._list_ms) if held else -1),
-                ("list_heard_ms", int(self._moment().heard_ms)),
-                ("trail_failing", int(self._shelf.failing if self._shelf else 0))]
+        return [
+            ("list_number", held.number if held else -1),
+            ("list_digest", held.digest if held else "-"),
+            ("list_age_ms", int(now - self._list_ms) if held else -1),
+            ("list_heard_ms", int(self._moment().heard_ms)),
+            ("trail_failing", int(self._shelf.failing if self._shelf else 0)),
+        ]
 
     def asked(self, query: dict[str, list[str]]) -> Answer:
         try:
-            after, most = (int(query[name][0]) if name in query else usual
-                           for name, usual in (("after", 0), ("most", wire.USUAL)))
+            after, most = (
+                int(query[name][0]) if name in query else usual
+                for name, usual in (("after", 0), ("most", wire.USUAL))
+            )
         except ValueError:
             return Answer(False, "after, most: whole numbers are wanted")
         if after < 0 or not 0 <= most <= wire.MOST:
             return Answer(False, f"after, most: from 0 up, most at most {wire.MOST}")
         moment, shelf = self._moment(), self._shelf
         piece = wire.Piece(
-            name=self._config.name, process=self._process, boot=self._boot, holds=shelf is not None,
-            wall_ms=self._machine.wall_ms(), steady_ms=self._machine.steady_ms(), versions=self._versions,
-            list_ms=self._list_ms, heard_ms=moment.heard_ms, ready=moment.ready, held=moment.held,
-            **({"trail": shelf.trail.name, "life": shelf.trail.state.life, "last": shelf.trail.last,
-                "chain": shelf.trail.chain, "failing": shelf.failing,
-                "frames": shelf.trail.piece(after, most)} if shelf else {}))
+            name=self._config.name,
+            process=self._process,
+            boot=self._boot,
+            holds=shelf is not None,
+            wall_ms=self._machine.wall_ms(),
+            steady_ms=self._machine.steady_ms(),
+            versions=self._versions,
+            list_ms=self._list_ms,
+            heard_ms=moment.heard_ms,
+            ready=moment.ready,
+            held=moment.held,
+            **(
+                {
+                    "trail": shelf.trail.name,
+                    "life": shelf.trail.state.life,
+                    "last": shelf.trail.last,
+                    "chain": shelf.trail.chain,
+                    "failing": shelf.failing,
+                    "frames": shelf.trail.piece(after, most),
+                }
+                if shelf
+                else {}
+            ),
+        )
         return Answer(True, content=wire.encode(piece))
 
 
