--- a/birchstack/emulator/rig/real.py
+++ b/birchstack/emulator/rig/real.py
@@ -47,16 +47,18 @@
         list_services: int = 1,
         keeper: dict | None = None,
         beat_ms: float = 500.0,
+        also: dict[str, list[str]] | None = None,
     ) -> None:
         self.folder, self.seed, self._fleet = folder, seed, fleet
         self.chance = random.Random(f"rig {seed}")
         self._run = run or shell(sys.executable, "-m", "birchstack")
         self._root = Path.cwd()
-        self._names = [f"n{at + 1}" for at in range(senders)]
+        self.senders = [f"n{at + 1}" for at in range(senders)]
         self._keeper_names = [f"k{at + 1}" for at in range(keepers)]
         self.uids = {f"e{at + 1}": at % destinations + 1 for at in range(endpoints)}
         self._list_services, self._beat_ms = list_services, beat_ms
         self._keeper_words = keeper or {}
+        self._also = also or {}  # by sender: processes to come beside it
         self.links: dict[tuple[str, str], Link] = {}
         self.processes: dict[str, Process] = {}
         self._places: dict[str, str] = {}
@@ -79,9 +81,9 @@
         self.clients = Clients(self.stage, lambda sender: self.link("clients", sender).where)
         try:
             await asyncio.sleep(0)
-            for name in self._names:
+            for name in self.senders:
                 self.add_sender(name)
-            await asyncio.gather(*(self.processes[name].start() for name in self._names))
+            await asyncio.gather(*(self.processes[name].start() for name in self.senders))
             for name in self._keeper_names:
                 self.add_keeper(name)
             await asyncio.gather(
@@ -156,7 +158,7 @@
             str(self.folder / of / "state"),
             self.chance.getrandbits(48),
             known,
-            len(self._names),
+            len(self.senders),
         )
 
     def add_sender(self, name: str, of: str | None = None, lists: str = "list", **more: object) -> Process:
@@ -178,7 +180,11 @@
 
     def add_keeper(self, name: str, doors: dict[str, list[str]] | None = None) -> Process:
         doors = doors or {
-            sender: ["{}:{}".format(*self.link(name, f"{sender}:ops").where)] for sender in self._names
+            sender: [
+                "{}:{}".format(*self.link(name, f"{each}:ops").where)
+                for each in (sender, *self._also.get(sender, ()))
+            ]
+            for sender in self.senders
         }
         (self.folder / name).mkdir(parents=True, exist_ok=True)
         path = self.folder / f"{name}.toml"
@@ -220,7 +226,9 @@
         self, per_second: float, senders: list[str] | None = None, destinations: list[int] | None = None
     ):
         """Documents at an even rate, to senders in turn, to drawn destinations, until quiet()."""
-        names = senders or self._names
+        if self._load:
+            self._load.cancel()
+        names = senders or self.senders
         all_of = destinations or sorted(set(self.uids.values()))
 
         async def go() -> None:
--- a/birchstack/keeper/store.py
+++ b/birchstack/keeper/store.py
@@ -214,7 +214,10 @@
             self._door(at, piece, now_ms, None)
             return False
         if piece.trail != place.name:
+            asked = place.next
             self._other_trail(place, piece, now_ms)
+            if asked > 1:               # what came is not the new trail's beginning
+                return True
         if piece.last < place.next - 1 or (
             piece.last == place.next - 1 and piece.chain != place.chain and piece.last and not place.looking
         ):
@@ -347,7 +350,7 @@
             if chain == frame.chain:
                 place.trail = branch
                 return True
-        if rows:
+        if place.trail in [branch for branch, _ in rows]:
             names = {
                 row[0]
                 for row in self.db.execute(
