A folder that another sender's copy took the place of counts as lost

Found by the copied-folder story: the sender's own earlier trail ended with calls that no keeper had taken, and nothing said so, since the trail that took its place was known already. Now every change of a sender to a trail it never had is a finding, and the time between is unknown.

--- a/birchstack/keeper/store.py
+++ b/birchstack/keeper/store.py
@@ -87,7 +87,7 @@
     state: State = field(default_factory=State)
     last_ms: float = 0.0
     looking: bool = False  # reading from the start, for where a trail forked
-    lost: float | None = None  # since when nothing is known of a folder that was lost
+    lost: tuple[str, float] | None = None  # a sender, and since when nothing is known of a folder it lost
 
     def begin(self, looking: bool) -> None:
         self.next, self.chain, self.state, self.last_ms, self.looking = 1, START, State(), 0.0, looking
@@ -216,7 +216,7 @@
         if piece.trail != place.name:
             asked = place.next
             self._other_trail(place, piece, now_ms)
-            if asked > 1:               # what came is not the new trail's beginning
+            if asked > 1:  # what came is not the new trail's beginning
                 return True
         if piece.last < place.next - 1 or (
             piece.last == place.next - 1 and piece.chain != place.chain and piece.last and not place.looking
@@ -261,20 +261,24 @@
 
     def _other_trail(self, place: Place, piece: wire.Piece, now_ms: float) -> None:
         """This door keeps another trail than before: a new folder, or another sender's."""
-        others = self.db.execute(
-            "SELECT DISTINCT t.name FROM life l JOIN trail t ON t.id=l.trail WHERE l.sender=? AND t.name!=?",
-            (piece.name, piece.trail),
-        ).fetchall()
+        mine = [
+            name
+            for (name,) in self.db.execute(
+                "SELECT DISTINCT t.name FROM life l JOIN trail t ON t.id=l.trail WHERE l.sender=?",
+                (piece.name,),
+            )
+        ]
         known = self.db.execute("SELECT min(id) FROM trail WHERE name=?", (piece.trail,)).fetchone()[0]
-        if others and known is None:
+        if mine and piece.trail not in mine:
             row = self.db.execute(
                 "SELECT max(complete_ms) FROM door WHERE sender=? AND boot=?", (piece.name, piece.boot)
             ).fetchone()
-            place.lost = row[0] or 0.0
+            place.lost = piece.name, row[0] or 0.0
             self.found(
                 "folder lost",
                 piece.name,
-                f"trail {piece.trail} begins; what {others[-1][0]} held and no keeper had taken is not known",
+                f"goes on with trail {piece.trail}; what {mine[-1]} held and "
+                "no keeper had taken is not known",
                 now_ms,
             )
         if known is None:
@@ -462,10 +466,10 @@
             (place.trail, number, record.life, record.name, record.boot, record.wall_ms, record.steady_ms),
         )
         self._stretch(place.trail, after(place.state, number, record))
-        if place.lost is not None:
-            lost, place.lost = place.lost, None
+        if place.lost and place.lost[0] == record.name:
+            (_, since), place.lost = place.lost, None
             held = Place(place.trail, place.name, state=after(place.state, number, record))
-            self._gap(held, Gap(lost, record.steady_ms, "the folder was lost"), now_ms)
+            self._gap(held, Gap(since, record.steady_ms, "the folder was lost"), now_ms)
         before = place.state.name
         if before and before != record.name:
             self.found(
