Commands: birchstack keeper FILE, and birchstack fleet with six questions

Need: operators ask in words, programs in JSON; status 3 when a finding stands. An answer that rests on a gap lists 'unknown from ... to ...'.

--- a/birchstack/cli.py
+++ b/birchstack/cli.py
@@ -11,6 +11,8 @@
 
 import click
 
+from birchstack.cli_fleet import fleet, keeper
+
 BROKEN = 3  # status: a rule was broken
 
 
@@ -183,5 +185,8 @@
             console.print(each.text, style="red", markup=False, highlight=False, soft_wrap=True)
 
 
+main.add_command(keeper)
+main.add_command(fleet)
+
 if __name__ == "__main__":
     main()
--- a/birchstack/keeper/__main__.py
+++ b/birchstack/keeper/__main__.py
@@ -13,10 +13,10 @@
 
 
 def main(path: str) -> int:
-    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
-    log.start()
     try:
         told = load(path)
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
+        log.start()
         asyncio.run(serve(told, Machine(), str(Path(told.store).absolute().parent)))
     except (KeeperError, StoreError) as problem:
         print(f"birchstack: keeper: {problem}", file=sys.stderr)
