--- a/birchstack/emulator/rig/links.py
+++ b/birchstack/emulator/rig/links.py
@@ -197,6 +197,8 @@
             self._over()
 
     def _back(self, what: object) -> None:
+        if isinstance(what, bytes) and not self.near.over:
+            self.link.tap(what)
         self.near.out(what)
         if what is END or what is RESET:
             self._over()
@@ -236,6 +238,7 @@
         self.there, self.back = Way(), Way()
         self.connections: dict[Connection, None] = {}
         self.dials = 0
+        self.tap: Callable[[bytes], None] = lambda data: None  # what reaches the caller
         self.host = stage.serve(where, f"{a}>{b}", self._accept)
 
     @property
--- a/birchstack/emulator/rig/parties.py
+++ b/birchstack/emulator/rig/parties.py
@@ -46,7 +46,7 @@
         self.epoch, self.number = epoch, 1
         self.entries: dict[str, dict] = {}
         self._log: list[tuple[int, str, dict]] = []  # number, uid, line: what changed
-        self._kept: dict[int, tuple[dict, list]] = {}
+        self.kept: dict[int, tuple[dict, list]] = {}
         self.watchers: dict[ListPeer, None] = {}
         self.still: set[str] = set()  # callers whose watch only beats: the list stands still for them
         self.told: list[Told] = []
@@ -61,7 +61,7 @@
         self._keep()
 
     def _keep(self) -> None:
-        self._kept[self.number] = dict(self.entries), [*self._log]
+        self.kept[self.number] = dict(self.entries), [*self._log]
         self.published.append((self._stage.now_ms(), self.epoch, self.number))
 
     def publish(self, **states: str) -> int:
@@ -84,7 +84,7 @@
 
     def restore(self, number: int, epoch: str | None = None) -> None:
         """Back to a version that was kept, as from a backup; every watch ends. epoch: a new one begins."""
-        entries, log = self._kept[number]
+        entries, log = self.kept[number]
         self.entries, self._log, self.number = dict(entries), [*log], number
         if epoch is not None:
             self.epoch = epoch
--- a/birchstack/fleet/settings.py
+++ b/birchstack/fleet/settings.py
@@ -39,9 +39,14 @@
 def load(path: str) -> Fleet:
     try:
         with open(path, "rb") as file:
-            return msgspec.toml.decode(file.read(), type=Fleet)
+            return decode(file.read(), path)
     except OSError as problem:
         raise ConfigError(f"BALANCER_FLEET: {problem}") from problem
+
+
+def decode(text: bytes, path: str) -> Fleet:
+    try:
+        return msgspec.toml.decode(text, type=Fleet)
     except (msgspec.DecodeError, UnicodeDecodeError) as problem:
         raise ConfigError(f"BALANCER_FLEET: {path}: {problem}") from problem
 
