--- a/birchstack/emulator/rig/drawn.py
+++ b/birchstack/emulator/rig/drawn.py
@@ -66,15 +66,22 @@
         self._rig = rig
         self.held: dict[str, list[tuple[float, str]]] = defaultdict(list)  # since when, digest
         self._contents: dict[str, Contents] = {}
+        self._lying: dict[str, list[dict]] = defaultdict(list)
         rig.on_known = self._known
         for name in rig.senders:
             rig.link(name, "list").tap = lambda data, name=name: self._came(name, data)
+            rig[name].on_go = lambda name=name: self._goes_on(name)
 
     def _known(self, name: str, known: dict) -> None:
+        self._lying.pop(name, None)
         self._contents[name] = contents = Contents()
         contents.apply(True, known["targets"])
         self.held[name].append((self._rig.clock.now_ms(), contents.digest()))
 
+    def _goes_on(self, name: str) -> None:
+        for told in self._lying.pop(name, ()):
+            self._arrived(name, told)
+
     def _came(self, name: str, data: bytes) -> None:
         line = data.partition(b"\r\n")[2].strip()
         if not line.startswith(b"{") or name not in self._contents:
@@ -86,7 +93,7 @@
         if not process.runs:
             return
         if process.loop.still:  # it lies in the kernel until the process goes on
-            self._rig.clock.after(5.0, self._arrived, name, told)
+            self._lying[name].append(told)
             return
         contents = self._contents[name].copy()
         contents.apply(told["all"], told["targets"])
--- a/birchstack/emulator/rig/real.py
+++ b/birchstack/emulator/rig/real.py
@@ -54,7 +54,7 @@
         self._run = run or shell(sys.executable, "-m", "birchstack")
         self._root = Path.cwd()
         self.senders = [f"n{at + 1}" for at in range(senders)]
-        self._keeper_names = [f"k{at + 1}" for at in range(keepers)]
+        self.keepers = [f"k{at + 1}" for at in range(keepers)]
         self.uids = {f"e{at + 1}": at % destinations + 1 for at in range(endpoints)}
         self._list_services, self._beat_ms = list_services, beat_ms
         self._keeper_words = keeper or {}
@@ -84,11 +84,9 @@
             for name in self.senders:
                 self.add_sender(name)
             await asyncio.gather(*(self.processes[name].start() for name in self.senders))
-            for name in self._keeper_names:
+            for name in self.keepers:
                 self.add_keeper(name)
-            await asyncio.gather(
-                *(self.processes[name].start("event=keeping") for name in self._keeper_names)
-            )
+            await asyncio.gather(*(self.processes[name].start("event=keeping") for name in self.keepers))
         except BaseException:
             await self.close()
             raise
@@ -174,7 +172,7 @@
         made = self.processes[name] = Process(
             name, self._run, self.folder / "run" / name, self._root, settings
         )
-        for keeper in self._keeper_names:
+        for keeper in self.keepers:
             self.link(keeper, f"{name}:ops")
         return made
 
--- a/birchstack/emulator/rig/virtual.py
+++ b/birchstack/emulator/rig/virtual.py
@@ -71,6 +71,7 @@
         self.on_term: Callable[[], None] | None = None
         self.faults: list[str] = []
         self.lives: list[tuple[str, float]] = []  # what happened to it, and when
+        self.on_go: Callable[[], None] = lambda: None
         self.lost_disk = False  # its disk was full or lost at some time
 
     @property
@@ -120,6 +121,8 @@
         if self.runs and self.loop.still != still:
             self._note("stopped" if still else "let go")
             self.loop.stand(still)
+            if not still:
+                self.on_go()
 
 
 class SenderProcess(Process):
--- a/birchstack/fleet/shelf.py
+++ b/birchstack/fleet/shelf.py
@@ -259,6 +259,11 @@
         self._mark_sound()
         return True
 
+    def retry(self, now_ms: float) -> None:
+        """A sender that does nothing more must not leave its loss untold."""
+        if self._lost_from:
+            self._recovered(now_ms)
+
     @property
     def failing(self) -> bool:
         return bool(self._lost_from)
--- a/birchstack/fleet/witness.py
+++ b/birchstack/fleet/witness.py
@@ -180,6 +180,8 @@
         if after < 0 or not 0 <= most <= wire.MOST:
             return Answer(False, f"after, most: from 0 up, most at most {wire.MOST}")
         moment, shelf = self._moment(), self._shelf
+        if shelf:
+            shelf.retry(self._machine.steady_ms())
         piece = wire.Piece(
             name=self._config.name,
             process=self._process,
--- a/birchstack/keeper/store.py
+++ b/birchstack/keeper/store.py
@@ -234,7 +234,8 @@
         done = place.next > piece.last
         if done:
             place.looking = False
-        self._door(at, piece, now_ms, piece.steady_ms if done else None)
+        # a sender that loses records just now has said nothing of what it does meanwhile
+        self._door(at, piece, now_ms, piece.steady_ms if done and not piece.failing else None)
         return not done
 
     def _clock(self, piece: wire.Piece, now_ms: float, error_ms: float) -> None:
