--- /dev/null
+++ b/benchmarks/fleet_cost.py
@@ -0,0 +1,196 @@
+"""What the audit of the fleet costs, on this machine: three measurements, each by its name.
+
+    python -m benchmarks.fleet_cost trail [--pairs N] [--documents N]     a sender's CPU, trail on against off
+    python -m benchmarks.fleet_cost keeper [--senders N] [--seconds S]    one keeper and many real senders
+    python -m benchmarks.fleet_cost questions [--records N]               answers from a large store
+
+Real processes on loopback; endpoints and clients are stand-ins in this process.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import statistics
+import tempfile
+import time
+from pathlib import Path
+
+from birchstack.emulator.rig import site
+from birchstack.emulator.rig.processes import shell
+from birchstack.emulator.rig.real import CLIENT_PORT, Rig
+from birchstack.fleet import wire
+from birchstack.fleet.records import START, Acted, Adopted, Life, frame
+from birchstack.fleet.versions import LIST, Version
+from birchstack.keeper.questions import Stores
+from birchstack.keeper.store import Store
+
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def cpu_s(pid):
+    """User and system time of a process, in seconds."""
+    words = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
+    return (int(words[11]) + int(words[12])) / TICKS
+
+
+def memory_mb(pid):
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+async def documents(rig, many, first):
+    """Hands documents in over eight connections that stay open, one after the other on each."""
+    async def client(numbers):
+        reader, writer = await asyncio.open_connection(rig.place("n1"), CLIENT_PORT)
+        for number in numbers:
+            writer.write((f"POST /sync HTTP/1.1\r\nHost: api\r\nRequest-Id: x{number}\r\n"
+                          f"Request-Timeout-Ms: 8000\r\nX-Consignee: dest={1 + number % 2}\r\n"
+                          "Content-Length: 200\r\n\r\n").encode() + bytes(200))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 202"), head
+        writer.close()
+    await asyncio.gather(*(client(range(first + at, first + many, 8)) for at in range(8)))
+
+
+async def one_run(fleet, many):
+    """CPU time of one sender for a document, in microseconds."""
+    run = shell(".venv/bin/python", "-O", "-m", "birchstack")
+    with tempfile.TemporaryDirectory() as folder:
+        async with Rig(Path(folder), 1, 0, 2, 2, fleet, run, 1) as rig:
+            rig.endpoints.answer_ms = 1.0
+            await documents(rig, 500, 0)
+            pid = rig["n1"].process.pid
+            before = cpu_s(pid)
+            await documents(rig, many, 1000)
+            await asyncio.sleep(0.3)
+            return (cpu_s(pid) - before) / many * 1e6
+
+
+def trail(told):
+    chance, pairs = random.Random(1), []
+    for _ in range(told.pairs):
+        order = ["on", "off"] if chance.random() < 0.5 else ["off", "on"]
+        got = {each: asyncio.run(one_run(site.FLEET if each == "on" else None, told.documents))
+               for each in order}
+        pairs.append((got["on"], got["off"]))
+        print(f"on {got['on']:.0f} us, off {got['off']:.0f} us a document: "
+              f"{100.0 * (got['on'] / got['off'] - 1.0):+.1f} in 100", flush=True)
+    shares = [100.0 * (on / off - 1.0) for on, off in pairs]
+    error = statistics.stdev(shares) / len(shares) ** 0.5 if len(shares) > 1 else 0.0
+    print(f"off {statistics.mean(off for _, off in pairs):.0f} us a document; the trail costs "
+          f"{statistics.mean(shares):+.2f} in 100 (standard error {error:.2f}, median "
+          f"{statistics.median(shares):+.2f}, {len(pairs)} pairs of {told.documents} documents)")
+
+
+def keeper(told):
+    async def whole():
+        with tempfile.TemporaryDirectory() as folder:
+            rig = Rig(Path(folder), 0, 0, 4, 2, site.FLEET, None, 1, keeper={"every_s": 1.0})
+            async with rig:
+                began = time.monotonic()
+                rig.senders = [f"n{at + 1}" for at in range(told.senders)]
+                for at in range(0, told.senders, 16):
+                    some = rig.senders[at:at + 16]
+                    for name in some:
+                        rig.add_sender(name)
+                    await asyncio.gather(*(rig[name].start(within_s=60.0) for name in some))
+                print(f"{told.senders} senders ready after {time.monotonic() - began:.0f} s, together "
+                      f"{sum(memory_mb(rig[name].process.pid) for name in rig.senders) / 1000.0:.1f} GB",
+                      flush=True)
+                rig.load(told.per_second)
+                rig.keepers = ["k1"]
+                doors = {name: [f"{rig.place(name)}:7401"] for name in rig.senders}     # no link between
+                rig.add_keeper("k1", doors)
+                await rig["k1"].start("event=keeping")
+                await asyncio.sleep(5.0)
+                pid, ages, asked = rig["k1"].process.pid, [], []
+                before, since, many = cpu_s(pid), time.monotonic(), told.seconds
+                for _ in range(many * 4):
+                    await asyncio.sleep(0.25)
+                    rows = Stores([rig.store("k1")], rig.now_ms()).status()
+                    ages += [each.age_ms for each in rows]
+                    asked.append(sum(each.answered_ms < 1100.0 for each in rows))
+                spent = (cpu_s(pid) - before) / (time.monotonic() - since)
+                ages.sort()
+                print(f"doors answered within the last 1.1 s: least {min(asked)} of {told.senders}; keeper "
+                      f"{spent * 100.0:.0f} in 100 of a core, {memory_mb(pid):.0f} MB; age of a sender's "
+                      f"picture p50 {ages[len(ages) // 2]:.0f} ms, p99 {ages[len(ages) * 99 // 100]:.0f} ms, "
+                      f"most {ages[-1]:.0f} ms")
+                calls = len(rig.endpoints.calls)
+                await rig.quiet()
+                await asyncio.sleep(2.5)
+                stores = Stores([rig.store("k1")], rig.now_ms())
+                known = sum(each.calls for each in stores.acted(1).stretches)
+                print(f"calls: {len(rig.endpoints.calls)} seen by endpoints ({calls} before the end), "
+                      f"{known} in the store; store {os.path.getsize(rig.store('k1')) / 1e6:.1f} MB")
+    asyncio.run(whole())
+
+
+def questions(told):
+    with tempfile.TemporaryDirectory() as folder:
+        path = f"{folder}/s.sqlite"
+        store, senders = Store(path), 100
+        each = told.records // senders
+        began, size = time.monotonic(), 0
+        for number in range(1, 51):
+            changes = {"e1": "leaving"} if number == 40 else {}
+            store.publish(Version(LIST, "x", "", number, f"{number:032x}"), "newer", changes, number * 1e4)
+        for sender in range(senders):
+            chain, at, frames, number = START, 0.0, [], 0
+            records = [Life("l", f"n{sender}", "b", 0.0, 0.0)]
+            for turn in range(each):
+                at += 5e5 / each
+                if turn % (each // 50) == 0:
+                    many = turn // (each // 50) + 1
+                    held = Version(LIST, "x", "", many, f"{many:032x}")
+                    records.append(Adopted(held, "newer", "x", at, at))
+                records.append(Acted(at, (f"doc-{sender}-{turn}", f"e{turn % 20}")))
+            for record in records:
+                number += 1
+                data, chain = frame(number, chain, record)
+                frames.append(data)
+                size += len(data)
+            for start in range(0, number, 1000):
+                store.take(f"d{sender}", wire.Piece(
+                    name=f"n{sender}", process="p", boot="b", trail=f"t{sender}", life="l", wall_ms=at,
+                    steady_ms=at, last=number, chain=chain, frames=b"".join(frames[start:start + 1000])), at, 1.0)
+                store.commit()
+        spent = time.monotonic() - began
+        store.close()
+        print(f"{told.records:,} records of {senders} senders taken in {spent:.0f} s "
+              f"({told.records / spent:,.0f} a second, building them counted), {size / told.records:.0f} bytes a "
+              f"record on the senders, store {os.path.getsize(path) / 1e6:.0f} MB")
+        stores = Stores([path], 5e5)
+        for name, ask in (("acted --list 25", lambda: len(stores.acted(25).stretches)),
+                          ("acted --list 25 --late", lambda: len(stores.late(25).calls)),
+                          ("document", lambda: len(stores.document("doc-50-77").calls)),
+                          ("after --endpoint e1 --out-at 40", lambda: len(stores.after("e1", 40).calls)),
+                          ("status", lambda: len(stores.status())),
+                          ("findings", lambda: len(stores.findings()))):
+            times = []
+            for _ in range(5):
+                began = time.perf_counter()
+                many = ask()
+                times.append(time.perf_counter() - began)
+            print(f"{name}: {many} rows, {statistics.median(times) * 1000.0:.1f} ms (first "
+                  f"{times[0] * 1000.0:.1f} ms)")
+    head = Adopted(Version(LIST, "127.0.0.1:8500", "", 41, "0" * 32), "newer", "127.0.0.1:8500", 1e12, 1e6)
+    print(f"an adoption: {len(frame(1, START, head)[0])} bytes; a turn with one call: "
+          f"{len(frame(1, START, Acted(1e6, ('9b1f03aa5c7e2d41', 's-5be2a07c')))[0])} bytes")
+
+
+def main():
+    told = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    told.add_argument("what", choices=("trail", "keeper", "questions"))
+    told.add_argument("--pairs", type=int, default=10)
+    told.add_argument("--documents", type=int, default=4000)
+    told.add_argument("--senders", type=int, default=300)
+    told.add_argument("--seconds", type=int, default=20)
+    told.add_argument("--per-second", type=float, default=200.0)
+    told.add_argument("--records", type=int, default=1_000_000)
+    told = told.parse_args()
+    {"trail": trail, "keeper": keeper, "questions": questions}[told.what](told)
+
+
+if __name__ == "__main__":
+    main()
--- a/birchstack/emulator/peers.py
+++ b/birchstack/emulator/peers.py
@@ -9,16 +9,23 @@
 
 import json
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 import httptools
 
-from birchstack.emulator.destinations import ERROR, NEVER, OK, SHED, SPOILT, WAIT, Endpoint, Verdict
-from birchstack.emulator.judge import CallSeen, Story
-from birchstack.emulator.scenario import DocumentType
-
-if TYPE_CHECKING:
-    from birchstack.emulator.world import World
+from birchstack.emulator.destinations import (
+    ERROR,
+    NEVER,
+    OK,
+    SHED,
+    SPOILT,
+    WAIT,
+    Destination,
+    Endpoint,
+    Verdict,
+)
+from birchstack.emulator.judge import CallSeen, Judge, Story
+from birchstack.emulator.scenario import DocumentType, Scenario
 
 STATUS = {OK: 200, ERROR: 500, SHED: 503, WAIT: 429}
 REASON = {200: "OK", 500: "Error", 503: "Busy", 429: "Wait", 204: "No Content", 400: "Bad", 404: "Not Found"}
@@ -37,6 +44,41 @@
     def reach(self, where: tuple[str, int], peer: object, refused: Callable[[], None]) -> None: ...
 
 
+class Ground(Protocol):
+    """What the peers ask of the world that they belong to (world.World)."""
+
+    stage: Stage
+    judge: Judge
+    scenario: Scenario
+    agents: list
+    tables: dict[str, int]  # by endpoint: connections open
+    connections: int
+
+    def call(
+        self, peer: EndpointPeer, doc_id: str, body: bytes, sender: int, setup_ms: float
+    ) -> tuple[CallSeen | None, Verdict | None]: ...
+
+    def call_over(self, call: CallSeen, endpoint: Endpoint) -> None: ...
+
+    def sender_failed(self, dest: Destination, sender: int) -> None: ...
+
+    def unreachable(self, peer: EndpointPeer) -> bool: ...
+
+    def answers_held(self, dest: Destination, now: float) -> float | None: ...
+
+    def spoil(self) -> tuple[int, bytes]: ...
+
+    def heard_ms(self) -> float: ...
+
+    def whole_list(self, sender: int) -> bytes: ...
+
+    def list_after(self, sender: int, rev: int) -> tuple[bytes, int]: ...
+
+    def noticed(self, sender: int, doc_id: str, result: str, wait_ms: float) -> None: ...
+
+    def client_again(self, hand: Hand, wait_ms: float, sender: int, elsewhere: bool = False) -> None: ...
+
+
 def message(status: int, fields: dict[str, object] | None = None, body: bytes = b"") -> bytes:
     lines = [f"HTTP/1.1 {status} {REASON[status]}", *(f"{k}: {v}" for k, v in (fields or {}).items())]
     if status != 204:
@@ -99,7 +141,7 @@
 class EndpointPeer(Server):
     """A connection at an endpoint. It is closed when it has stood idle for just so long."""
 
-    def __init__(self, world: World, endpoint: Endpoint, sender: int) -> None:
+    def __init__(self, world: Ground, endpoint: Endpoint, sender: int) -> None:
         super().__init__()
         self._world, self.endpoint, self._sender = world, endpoint, sender
         self._call: CallSeen | None = None
@@ -244,7 +286,7 @@
 class AgentPeer(Server):
     """A connection at the platform's agent beside one sender: its partner list, and its notices."""
 
-    def __init__(self, world: World, sender: int) -> None:
+    def __init__(self, world: Ground, sender: int) -> None:
         super().__init__()
         self._world, self._sender = world, sender
         self.rev = -1  # the last version that a watch here was sent; -1: no watch
@@ -374,7 +416,7 @@
 class ClientPool:
     """The clients beside one sender."""
 
-    def __init__(self, world: World, sender: int, where: tuple[str, int]) -> None:
+    def __init__(self, world: Ground, sender: int, where: tuple[str, int]) -> None:
         self.world, self._sender, self._where = world, sender, where
         self._idle: list[ClientPeer] = []
 
