--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -151,15 +151,16 @@
                 frames.append(data)
                 size += len(data)
             for start in range(0, number, 1000):
-                store.take(f"d{sender}", wire.Piece(
+                piece = wire.Piece(
                     name=f"n{sender}", process="p", boot="b", trail=f"t{sender}", life="l", wall_ms=at,
-                    steady_ms=at, last=number, chain=chain, frames=b"".join(frames[start:start + 1000])), at, 1.0)
+                    steady_ms=at, last=number, chain=chain, frames=b"".join(frames[start:start + 1000]))
+                store.take(f"d{sender}", piece, at, 1.0)
                 store.commit()
         spent = time.monotonic() - began
         store.close()
         print(f"{told.records:,} records of {senders} senders taken in {spent:.0f} s "
-              f"({told.records / spent:,.0f} a second, building them counted), {size / told.records:.0f} bytes a "
-              f"record on the senders, store {os.path.getsize(path) / 1e6:.0f} MB")
+              f"({told.records / spent:,.0f} a second, with building them), {size / told.records:.0f} bytes "
+              f"a record on the senders, store {os.path.getsize(path) / 1e6:.0f} MB")
         stores = Stores([path], 5e5)
         for name, ask in (("acted --list 25", lambda: len(stores.acted(25).stretches)),
                           ("acted --list 25 --late", lambda: len(stores.late(25).calls)),
