--- a/birchstack/emulator/rig/virtual.py
+++ b/birchstack/emulator/rig/virtual.py
@@ -189,13 +189,14 @@
         keepers: int = 1,
         endpoints: int = 4,
         destinations: int = 2,
-        fleet: str = site.FLEET,
+        trail_bytes: int = 400_000,
     ) -> None:
+        """trail_bytes: may be less than a file could say, so that a short day folds some."""
         self.chance = random.Random(f"virtual rig {seed}")
         self.clock = Clock()
         self.network = Network(self.clock, seed, DELAY_MS, DELAY_MS, 0.0)
         self.stage = Stage(self.clock, self.network)
-        self.fleet_file = fleet_settings.decode(fleet.encode(), "virtual")
+        self.fleet_file = fleet_settings.Fleet(fleet_settings.Trail(trail_bytes))
         self.uids = {f"e{at + 1}": at % destinations + 1 for at in range(endpoints)}
         self._places: dict[str, tuple[str, int]] = {}
         self.links: dict[tuple[str, str], Link] = {}
