--- a/birchstack/emulator/rig/drawn.py
+++ b/birchstack/emulator/rig/drawn.py
@@ -245,9 +245,7 @@
     process.lost_disk = True
 
 
-def play(
-    seed: int, most_senders: int = 60, kinds: tuple[str, ...] = KINDS, hot: bool | None = None
-) -> Day:
+def play(seed: int, most_senders: int = 60, kinds: tuple[str, ...] = KINDS, hot: bool | None = None) -> Day:
     day, rig = draw(seed, most_senders, kinds, hot)
     truth = Truth(rig)
     rig.start()
--- a/birchstack/emulator/rig/real.py
+++ b/birchstack/emulator/rig/real.py
@@ -176,7 +176,7 @@
             self.link(keeper, f"{name}:ops")
         return made
 
-    def add_keeper(self, name: str, doors: dict[str, list[str]] | None = None) -> Process:
+    def add_keeper(self, name: str, doors: dict[str, list[str]] | None = None, **more: object) -> Process:
         doors = doors or {
             sender: [
                 "{}:{}".format(*self.link(name, f"{each}:ops").where)
@@ -187,7 +187,7 @@
         (self.folder / name).mkdir(parents=True, exist_ok=True)
         path = self.folder / f"{name}.toml"
         lists = "{}:{}".format(*self.link(name, "list").where)
-        path.write_text(site.keeper(name, self.store(name), doors, lists, **self._keeper_words))
+        path.write_text(site.keeper(name, self.store(name), doors, lists, **{**self._keeper_words, **more}))
         line = shell(sys.executable, "-m", "birchstack.keeper", str(path))
         made = self.processes[name] = Process(name, line, self.folder / "run" / name, self._root, {})
         return made
--- a/birchstack/keeper/config.py
+++ b/birchstack/keeper/config.py
@@ -52,7 +52,7 @@
     senders: tuple[Sender, ...]
     lists: Lists | None = None
     asks: Asks = Asks()
-    store_mb: Annotated[int, Meta(ge=1)] = 4096  # the store grows no larger; then it keeps what it has
+    store_mb: Annotated[float, Meta(ge=0.2)] = 4096.0  # the store grows no larger; then it keeps what it has
 
 
 def decode(text: bytes, path: str) -> Keeper:
--- a/birchstack/keeper/store.py
+++ b/birchstack/keeper/store.py
@@ -94,14 +94,14 @@
 
 
 class Store:
-    def __init__(self, path: str, most_mb: int = 4096) -> None:
+    def __init__(self, path: str, most_mb: float = 4096.0) -> None:
         try:
             self.db = sqlite3.connect(path, isolation_level=None)
             self.db.executescript(
                 "PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL; PRAGMA cache_size=-16000;"
             )
             size = self.db.execute("PRAGMA page_size").fetchone()[0]
-            self.db.execute(f"PRAGMA max_page_count={most_mb * (1 << 20) // size}")
+            self.db.execute(f"PRAGMA max_page_count={int(most_mb * (1 << 20)) // size}")
             self.db.executescript(TABLES)
             found = self.db.execute("SELECT value FROM meta WHERE key='schema'").fetchone()
             if found is None:
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -267,6 +267,29 @@
     play(tmp_path, story, keepers=2)
 
 
+def test_a_keeper_without_room_keeps_what_it_has_and_knows_what_it_does_not(tmp_path):
+    async def story(rig):
+        rig.load(300)
+        await rig.until(lambda: "the store cannot be written" in rig["k1"].text(), 15.0)
+        await asyncio.sleep(0.3)
+        await rig.quiet()
+        await asyncio.sleep(0.2)
+        rig.audited = rig.now_ms()
+        assert rig["k1"].runs
+        told = Stores([rig.store("k1")], rig.now_ms())
+        had, seen = known(rig, told), truth(rig)
+        assert had and not [each for each in had if each not in seen]
+        gaps = {each.sender: each for each in told.document("d00001").unknown}
+        for each in rig.endpoints.calls:
+            if (each.sender, each.doc, each.endpoint) not in had:
+                assert gaps[each.sender].from_ms - 20.0 <= rig.wall(each.at_ms)
+        await rig["k1"].term()
+        rig.add_keeper("k1", store_mb=64.0)
+        await rig["k1"].start("event=keeping")
+        assert known(rig, await audit(rig)) == truth(rig)
+    play(tmp_path, story, keeper={"store_mb": 0.25})
+
+
 def test_a_trail_that_was_folded_before_it_was_fetched_keeps_its_totals_and_says_what_is_gone(tmp_path):
     async def story(rig):
         rig.load(100)
