Verdicts on stragglers, with their evidence; the keeper's tables apart from its intake

Change: birchstack/fleet/lag.py (pure: behind, on a fork, foreign epoch, ahead, silent, flapping; nobody where the list service is not heard, or most look behind, or most do not answer); keepers judge twice a second and keep each change with its evidence; birchstack fleet stragglers. keeper/store.py held two jobs: tables.py has the file now.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -35,17 +35,23 @@
 
 
 async def documents(rig, name, many, first):
-    """Hands documents in over eight connections that stay open, one after the other on each."""
+    """Hands documents in over eight connections that stay open, one after the other on each. Returns how long
+    each took to be taken on, in milliseconds."""
+    times = []
+
     async def client(numbers):
         reader, writer = await asyncio.open_connection(rig.place(name), CLIENT_PORT)
         for number in numbers:
+            began = time.perf_counter()
             writer.write((f"POST /sync HTTP/1.1\r\nHost: api\r\nRequest-Id: {name}x{number}\r\n"
                           f"Request-Timeout-Ms: 8000\r\nX-Consignee: dest={1 + number % 2}\r\n"
                           "Content-Length: 200\r\n\r\n").encode() + bytes(200))
             head = await reader.readuntil(b"\r\n\r\n")
             assert head.startswith(b"HTTP/1.1 202"), head
+            times.append((time.perf_counter() - began) * 1000.0)
         writer.close()
     await asyncio.gather(*(client(range(first + at, first + many, 8)) for at in range(8)))
+    return times
 
 
 async def pairs(told):
@@ -63,23 +69,28 @@
                 await rig[on].start()
                 await asyncio.gather(*(documents(rig, name, 500, 0) for name in (on, off)))
                 before = {name: cpu_s(rig[name].process.pid) for name in (on, off)}
-                await asyncio.gather(*(documents(rig, name, told.documents, 1000) for name in (on, off)))
+                times = await asyncio.gather(*(documents(rig, name, told.documents, 1000)
+                                               for name in (on, off)))
                 await asyncio.sleep(0.3)
                 spent = [(cpu_s(rig[name].process.pid) - before[name]) / told.documents * 1e6
                          for name in (on, off)]
                 assert any(name.startswith("trail-") for name in os.listdir(rig.state(on)))
                 assert not any(name.startswith("trail-") for name in os.listdir(rig.state(off)))
-        yield spent
+        yield *spent, *(statistics.mean(each) for each in times)
 
 
 async def trail(told):
     got = []
-    async for on, off in pairs(told):
-        got.append((on, off))
-        print(f"on {on:.1f}, off {off:.1f} us a document: {100.0 * (on / off - 1.0):+.1f} in 100", flush=True)
-    shares = [100.0 * (on / off - 1.0) for on, off in got]
+    async for on, off, on_ms, off_ms in pairs(told):
+        got.append((on, off, on_ms, off_ms))
+        print(f"on {on:.1f}, off {off:.1f} us a document: {100.0 * (on / off - 1.0):+.1f} in 100; "
+              f"taken on in {on_ms:.2f} and {off_ms:.2f} ms", flush=True)
+    shares = [100.0 * (on / off - 1.0) for on, off, *_ in got]
+    slower = [100.0 * (on / off - 1.0) for *_, on, off in got]
     error = statistics.stdev(shares) / len(shares) ** 0.5 if len(shares) > 1 else 0.0
-    print(f"off {statistics.mean(off for _, off in got):.0f} us a document; the trail costs "
+    print(f"time until taken on: {statistics.mean(slower):+.2f} in 100, median "
+          f"{statistics.median(slower):+.2f}")
+    print(f"off {statistics.mean(off for _, off, *_ in got):.0f} us a document; the trail costs "
           f"{statistics.mean(shares):+.2f} in 100 (standard error {error:.2f}, median "
           f"{statistics.median(shares):+.2f}, {len(shares)} pairs of {told.documents} documents)")
 
--- a/birchstack/cli_fleet.py
+++ b/birchstack/cli_fleet.py
@@ -268,6 +268,15 @@
     )
 
 
+@fleet.command()
+@click.pass_obj
+def stragglers(asked: Asked) -> None:
+    """Who is behind, on a fork, of a foreign epoch, ahead, flapping or silent, by the keepers' verdicts."""
+    told = asked.ask(lambda stores: stores.stragglers())
+    rows = [(each.sender or "the fleet", each.what, moment(each.at_ms), each.evidence) for each in told]
+    asked.show(told, [("stragglers", ("sender", "is", "verdict of", "evidence"), rows)], bool(told))
+
+
 @fleet.command()
 @click.option("--grace-ms", type=float, default=2000.0, show_default=True, help="Of an endpoint taken out.")
 @click.pass_obj
--- a/birchstack/emulator/rig/site.py
+++ b/birchstack/emulator/rig/site.py
@@ -80,14 +80,16 @@
     doors: dict[str, list[str]],
     lists: str | None,
     every_s: float = 0.2,
+    behind_s: float = 10.0,
+    silent_s: float = 10.0,
     **more: object,
 ) -> str:
     """doors: by sender, its own and those of processes that follow it."""
     text = [f"name = {json.dumps(name)}", f"store = {json.dumps(store)}"]
     text += [f"{key} = {json.dumps(value)}" for key, value in more.items()]
     if lists:
-        text.append(f"[lists]\nat = {json.dumps(lists)}")
-    text.append(f"[asks]\nevery_s = {every_s}\ntimeout_s = 1.0\npause_s = 1.0")
+        text.append(f"[lists]\nat = {json.dumps(lists)}\nbehind_s = {behind_s}")
+    text.append(f"[asks]\nevery_s = {every_s}\ntimeout_s = 1.0\npause_s = 1.0\nsilent_s = {silent_s}")
     for sender_name, (first, *also) in doors.items():
         text.append(f"[[senders]]\nname = {json.dumps(sender_name)}\nat = {json.dumps(first)}")
         text.append(f"also = {json.dumps(also)}")
--- a/birchstack/keeper/__main__.py
+++ b/birchstack/keeper/__main__.py
@@ -7,7 +7,7 @@
 
 from birchstack.keeper.config import KeeperError, load
 from birchstack.keeper.process import serve
-from birchstack.keeper.store import StoreError
+from birchstack.keeper.tables import StoreError
 from birchstack.net import log
 from birchstack.net.machine import Machine
 
--- a/birchstack/keeper/process.py
+++ b/birchstack/keeper/process.py
@@ -12,7 +12,7 @@
 import sqlite3
 from functools import partial
 
-from birchstack.fleet import wire
+from birchstack.fleet import lag, wire
 from birchstack.fleet.versions import FIRST, LIST, SAME, Contents, Version, compare
 from birchstack.keeper.asking import Ask
 from birchstack.keeper.collect import Rounds
@@ -26,6 +26,7 @@
 COMMIT_S = 0.1  # what came in this time is committed together
 FULL_S = 5.0  # after a commit that failed, nothing is asked for so long
 REPORT_S = 60.0
+JUDGE_S = 0.5  # so often every sender is judged anew
 log = logging.getLogger(__name__)
 
 
@@ -55,6 +56,8 @@
         self._held: Version | None = None  # the version stored last, and its endpoints
         self._states: dict[str, str] = {}
         self._contents = Contents()
+        self._turns, self._verdicts = lag.Turns(), {}
+        self._began_ms = clock.ms()
         self.ended = loop.create_future()
 
     def start(self) -> None:
@@ -67,6 +70,7 @@
             self._watch.start({})
         say(log, "keeping", name=self._told.name, doors=len(self._doors), store=self._told.store)
         self._loop.call_later(REPORT_S, self._report)
+        self._loop.call_later(JUDGE_S, self._judge)
         self._go()
 
     def stop(self) -> None:
@@ -155,6 +159,45 @@
                 times=self._counts["commits_failed"],
             )
 
+    # Verdicts
+
+    def _judge(self) -> None:
+        """Who is a straggler now; the store keeps each change of a verdict, with its evidence."""
+        if self.ended.done():
+            return
+        self._loop.call_later(JUDGE_S, self._judge)
+        now = self._clock.ms()
+        bounds = lag.Bounds(
+            self._told.lists.behind_s * 1000.0 if self._told.lists else lag.Bounds.behind_ms,
+            self._told.asks.silent_s * 1000.0,
+        )
+        if now - self._began_ms < bounds.silent_ms:
+            return  # nobody had time to be silent yet
+        heard = now - self._watch.silent_ms() if self._watch else None
+        versions = tuple((Version(LIST, *words), at) for *words, at in self._store.given())
+        view = lag.judge(self._sightings(), lag.Given(versions, heard), now, bounds, self._turns)
+        told = {"": (view.fleet, view.evidence, 0.0)}
+        told.update((each.sender, (each.what, each.evidence, each.since_ms)) for each in view.verdicts)
+        for sender, (what, evidence, since) in told.items():
+            if self._verdicts.get(sender, lag.WELL) != what:
+                self._store.judged(sender, what, evidence, since, now)
+                say(log, "verdict", sender=sender or "the fleet", what=what, evidence=evidence)
+                self._soon()
+            self._verdicts[sender] = what
+
+    def _sightings(self) -> list[lag.Sighting]:
+        """Each sender by the door that answered last and acts, of those that the file names."""
+        best: dict[str, lag.Sighting] = {name: lag.Sighting(name, None) for name in self._doors.values()}
+        for at, _, answered, kept in self._store.doors():
+            name = self._doors.get(at)
+            if name is None or answered is None or kept is None:
+                continue
+            piece = wire.decode(kept)
+            had = best[name].answered_ms
+            if piece.holds and (had is None or answered > had):
+                best[name] = lag.Sighting(name, answered, piece.versions.get(LIST), piece.heard_ms)
+        return [*best.values()]
+
     # The list
 
     def _listed(self, told: dict, source: str) -> bool:
--- a/birchstack/keeper/questions.py
+++ b/birchstack/keeper/questions.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from birchstack.fleet import wire
+from birchstack.fleet import lag, wire
 from birchstack.fleet.versions import LIST, Version
 
 SLACK_MS = 50.0  # news that is on its way: the list service to the keeper or a sender
@@ -109,6 +109,16 @@
     at_ms: float = 0.0
 
 
+class Verdict(msgspec.Struct, frozen=True, order=True):
+    """A keeper's verdict on a sender ("" on the fleet as a whole), and what it rests on."""
+
+    sender: str
+    what: str
+    evidence: str
+    since_ms: float
+    at_ms: float
+
+
 class Moment(msgspec.Struct, frozen=True, order=True):
     at_ms: float
     sender: str
@@ -406,6 +416,18 @@
         since = published[at + 1 if at is not None else 0].at_ms
         return len(published) - 1 - at if at is not None else len(published), self.now - since
 
+    def verdicts(self) -> list[Verdict]:
+        """Every change of a verdict, oldest first."""
+        return [
+            Verdict(*row)
+            for row in self._rows("SELECT sender, what, evidence, since_ms, at_ms FROM verdict ORDER BY id")
+        ]
+
+    def stragglers(self) -> list[Verdict]:
+        """Those that do not stand well now; the fleet as a whole first, if it does not."""
+        last = {each.sender: each for each in self.verdicts()}
+        return sorted(each for each in last.values() if each.what != lag.WELL)
+
     def timeline(self, from_ms: float = 0.0, to_ms: float | None = None) -> list[Moment]:
         found = [
             Moment(each.at_ms, "list service", "published", f"{each.version()} {each.ord}")
@@ -429,6 +451,10 @@
                     f"{kind} {Version(kind, origin, epoch, number, digest)} {order} from {source}",
                 )
             )
+        found += [
+            Moment(each.at_ms, each.sender or "the fleet", "verdict", f"{each.what}: {each.evidence}")
+            for each in self.verdicts()
+        ]
         for each in self.unknown():
             found.append(
                 Moment(
@@ -575,6 +601,16 @@
                 best[each.sender, each.at] = each
         return sorted(best.values())
 
+    def stragglers(self) -> list[Verdict]:
+        """A sender is one where any keeper that is not itself cut off says so."""
+        told = self._each(lambda reader: reader.stragglers())
+        sound = [
+            rows
+            for rows in told
+            if not any(each.sender == "" and each.what == lag.KEEPER_CUT_OFF for each in rows)
+        ] or told
+        return sorted({(each.sender, each.what): each for rows in sound for each in rows}.values())
+
     def timeline(self, from_ms: float = 0.0, to_ms: float | None = None) -> list[Moment]:
         seen: dict[tuple, Moment] = {}
         for each in (
