--- a/birchstack/keeper/tables.py
+++ b/birchstack/keeper/tables.py
@@ -1,8 +1,8 @@
 """The keeper's tables in SQLite: their form, transactions, lists, verdicts and findings.
 
 Owns the file. Must never ask anybody, or know how a trail is read (store.Store does). What is not committed
-was never had: commit() is called before anything is said of it. Times as the trails say them (steady clock of a
-boot); table `clock` places a boot in the keeper's time; lists, verdicts and findings are in the keeper's time.
+was never had: commit() is called before anything is said of it. Times as the trails say them (steady clock of
+a boot); table `clock` places a boot in the keeper's time; what the keeper itself finds is in its own time.
 """
 
 from __future__ import annotations
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -298,7 +298,7 @@
         cut = rig.now_ms()
         await rig.quiet()
         rig.load(450, ["n1"])
-        await asyncio.sleep(3.5)
+        await rig.until(lambda: sum(each.sender == "n1" for each in rig.endpoints.calls) > 1300, 15.0)
         await rig.quiet()
         rig.link("k1", "n1:ops").open()
         told = await audit(rig)
