A story that could not fail, and a wall clock that steps in a real sender

Found by breaking each hard case once more: the story of 300 senders allowed 40 answers in 10 ms, and with the spreading of a keeper's asks removed there were 32, so it passed. It allows 75 in 50 ms now: 62 with the spreading, 160 without, where it fails. The wall clock's story was played in virtual time only; one with real processes steps time.time of one sender by an hour. With times placed by the wall clock both fail. Trail.add was used nowhere and is gone; a list service of the rig keeps what left in a plain attribute.

--- a/birchstack/emulator/rig/parties.py
+++ b/birchstack/emulator/rig/parties.py
@@ -45,6 +45,7 @@
         self._stage, self._address, self._beat_ms = stage, address, beat_ms
         self.epoch, self.number = epoch, 1
         self.entries: dict[str, dict] = {}
+        self.gone: dict[str, dict] = {}  # lines of endpoints that left, should they come back
         self._log: list[tuple[int, str, dict]] = []  # number, uid, line: what changed
         self.kept: dict[int, tuple[dict, list]] = {}
         self.watchers: dict[ListPeer, None] = {}
@@ -78,10 +79,6 @@
         self._tell_all()
         return self.number
 
-    @property
-    def gone(self) -> dict[str, dict]:
-        return self.__dict__.setdefault("_gone", {})
-
     def restore(self, number: int, epoch: str | None = None) -> None:
         """Back to a version that was kept, as from a backup; every watch ends. epoch: a new one begins."""
         entries, log = self.kept[number]
--- a/birchstack/fleet/trail.py
+++ b/birchstack/fleet/trail.py
@@ -252,16 +252,6 @@
         else:
             self.last_ms = time_of(record) or self.last_ms
 
-    def add(self, record: Record) -> bytes:
-        """frame() and put() in one, for a trail that is kept in memory alone."""
-        if not self.segments or len(self.segments[-1].data) >= self.segment_bytes:
-            self.begin()
-            while self.too_much():
-                self.folds(self.fold())
-        data, chain = self.frame(record)
-        self.put(record, data, chain)
-        return data
-
     def too_much(self) -> bool:
         """The oldest segment has to be folded: there is no room, or too many small ones."""
         held = sum(len(each.data) for each in self.segments) + len(self._folded)
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -1,7 +1,10 @@
 """The audit of a fleet of real processes with faults between them, held against what the endpoints saw."""
 
 import asyncio
+import os
 import random
+import shlex
+import sys
 
 import pytest
 
@@ -342,3 +345,32 @@
         assert gone == [each for each in truth(rig, lost.from_ms, lost.to_ms, "n1") if each in gone]
         assert not [each for each in known(rig, told) if each not in truth(rig)]
     play(tmp_path, story, senders=3)
+
+
+STEPPED = """
+import os, sys, time
+import birchstack.__main__ as program
+told, real = os.environ["BALANCER_CONFIG"] + ".step", time.time
+time.time = lambda: real() + (3600.0 if os.path.exists(told) else 0.0)
+sys.exit(program.main())
+"""
+
+
+def test_a_wall_clock_that_steps_an_hour_is_a_finding_and_moves_no_answer(tmp_path):
+    async def story(rig):
+        rig.load(120)
+        await asyncio.sleep(0.4)
+        (tmp_path / "n1.json.step").touch()     # from here on its wall clock is an hour ahead
+        number, at = await publish(rig, e1="leaving")
+        rig.load(120)
+        await asyncio.sleep(0.4)
+        told = await audit(rig)
+        assert [(each.kind, each.sender) for each in told.findings(1e9)] == [("wall clock", "n1")]
+        assert known(rig, told) == truth(rig) and not told.late(1).calls
+        seen = {(each.sender, each.doc): rig.wall(each.at_ms) for each in rig.endpoints.calls}
+        for doc in {doc for _, doc, _ in truth(rig, sender="n1")}:
+            for call in told.document(doc).calls:
+                assert abs(seen[call.sender, doc] - call.at_ms) < 200.0
+    (tmp_path / "stepped.py").write_text(STEPPED)
+    path = f"PYTHONPATH={shlex.quote(os.getcwd())}"
+    play(tmp_path, story, run=f"exec env {path} {sys.executable} {tmp_path / 'stepped.py'}")
--- a/tests/test_fleet_virtual.py
+++ b/tests/test_fleet_virtual.py
@@ -45,6 +45,6 @@
     rig.start()
     rig.run(3.0)
     steady = [at for at in came if at > 1000.0]
-    most = max(sum(begin <= at < begin + 10.0 for at in steady) for begin in range(1000, 2990, 5))
-    assert len(steady) >= 2 * 4 * 300 * 0.9 and most <= 40, "a quarter of a second for 300: twelve in 10 ms"
+    most = max(sum(begin <= at < begin + 50.0 for at in steady) for begin in range(1000, 2950, 5))
+    assert len(steady) >= 2 * 4 * 300 * 0.9 and most <= 75, "a quarter of a second for 300: sixty in 50 ms"
     assert len(rig["k1"].reader().status()) == 300
