A call takes effect when it is written: what was told while its connection came up counts

Cause: a call is decided, and its rules checked, before its connection is dialled; Line.opened wrote it whenever the connection came up, up to 0.4 s later. Ruled out: waits not read, pooled connections (decided and written in one turn). Change: a connection that comes up is an event of its turn. Node._leaves asks the decisions (stands: the guard of rule 1 to 6, once more), the list's address, the notice and the end of the process, and only then notes the call and writes it; else it ends as not sent. The same place repairs the kind: an endpoint drained, gone or moved meanwhile, a document ended meanwhile, a dial that comes up between the last call and the end after SIGTERM. Test: test_crossings, a listener with a full accept queue; all four cases fail without the change. test_what_cannot_connect... looked for a "call" in the ledger; a call that never left has none now: it looks for its failed outcome instead, and that no call is noted.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -248,6 +248,10 @@
     def avoided(self) -> list[str]:     # for the figures: listed as ready, yet only trials go there
         return [ep.name for ep in self._endpoints.values() if ep.ill and ep.state == READY]
 
+    def stands(self, now: float, doc_id: str) -> bool:      # its connection may have come up late
+        doc = self._held.get(doc_id)
+        return doc is not None and doc.out is not None and not self._barred(now, doc, doc.out.ep)
+
     def withdrawn(self, now: float, doc_id: str) -> None:
         self._stirred = True
         if doc_id in self._held:
@@ -318,7 +322,7 @@
 
     def _barred(self, now: float, doc: Document, ep: Endpoint) -> bool:
         """True if a rule forbids this transmission."""
-        if doc.over or doc.out or now >= doc.expiry or ep.state != READY or now < ep.route.wait_until \
+        if doc.over or now >= doc.expiry or ep.state != READY or now < ep.route.wait_until \
                 or doc.lost() or doc.keyline and not doc.keyline.allows(doc, now):
             return True
         if doc.doubt and doc.kind.effect == NUMBERED:
@@ -419,10 +423,8 @@
             if doc.ready_at > now and not joining:
                 self._wake(now, doc.ready_at)
                 continue
-            if doc.repeats and (dest.tokens < 1.0 or self._repeats_held):
-                continue
             rank = self._value(now, doc)
-            if found and rank <= found[0]:
+            if found and rank <= found[0] or doc.repeats and (dest.tokens < 1.0 or self._repeats_held):
                 continue
             for ep in places:
                 doubtful = ep.doubtful > DOUBT_SHARE or ep.overdue(now) or ep.word.at(now) > WORD_LIMIT
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -122,6 +122,9 @@
 
     def withdrawn(self, now: float, doc_id: str) -> None: ...
 
+    def stands(self, now: float, doc_id: str) -> bool:
+        """Asked just before a transmission is written that was decided earlier: whether it still may."""
+
     def recall(self, now: float, endpoint: str, wait_ms: float, back_ms: float) -> None:
         """What a process before this one was told of an endpoint: a wait still to run, and how long ago it
         came back from a drain or from out by hand (or -1)."""
--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -53,8 +53,9 @@
     number: int
     endpoint: str
     body: bytes
-    patience_ms: float
-    started: float = 0.0
+    patience_ms: float                  # from when it is written
+    started: float = 0.0                # when it was decided
+    written: float = 0.0
 
 
 class Line:
@@ -68,17 +69,19 @@
         self._answer: http1.Response | None = None
         self._reader = http1.Responses()
         self._sent = self._begun = False        # all was handed to the network; a first line has come
-        self._timer = self._dialling = None
+        self._timer: asyncio.TimerHandle | None = None  # of the dial, the answer or the rest: one at a time
 
     def begin(self, call: Call) -> None:
         self._call, self._answer, self._reader, self._begun = call, None, http1.Responses(), False
+        self._sent = False
         self._rest()
-        self._timer = self._calls.later(call.patience_ms, self._timed_out)
         if self._link is None:
-            self._dialling = self._calls.later(self._calls.dial_ms, self._not_connected)
+            self._timer = self._calls.later(min(self._calls.dial_ms, call.patience_ms), self._not_connected)
             self._dial = Dial(self._calls.loop, self.where, self, self._not_connected)
-        else:
-            self._write()
+
+    def waits(self, call: Call) -> bool:
+        """True if this call has its connection, and was not written yet."""
+        return self._call is call and self._link is not None and not self._sent
 
     def stale(self) -> bool:
         """True if the endpoint has closed an idle connection already, or said what nobody asked."""
@@ -96,13 +99,14 @@
             self._link.abort()
 
     def _rest(self) -> None:
-        for timer in (self._timer, self._dialling):
-            if timer:
-                timer.cancel()
-        self._timer = self._dialling = None
+        if self._timer:
+            self._timer.cancel()
+        self._timer = None
 
-    def _write(self) -> None:
+    def write(self) -> None:
         call = self._call
+        self._rest()
+        self._timer = self._calls.later(call.patience_ms, self._timed_out)
         fields = {"Request-Id": call.doc, "Request-Timeout-Ms": max(1, int(call.patience_ms))}
         host = f"{self.where[0]}:{self.where[1]}"
         self._sent = True
@@ -113,15 +117,16 @@
 
     def opened(self, link: Link) -> None:
         self._link, self._dial = link, None
-        if self._dialling:
-            self._dialling.cancel()
         if self._call:
-            self._write()
+            self._calls.up(self._call)
 
     def received(self, data: memoryview) -> None:
         if self._call is None:          # nobody asked
             self._calls.drop(self)
             return
+        if not self._sent:              # nor is this the answer to a call that was not written
+            self._not_connected()
+            return
         try:
             for event in self._reader.feed(data):
                 if isinstance(event, http1.Response):
@@ -136,7 +141,7 @@
         if self._reader.told and not self._begun:
             self._begun = True
             self._timer.cancel()
-            left = self._call.patience_ms - self._calls.since(self._call)
+            left = self._call.patience_ms - self._calls.since(self._call.written)
             self._timer = self._calls.later(min(REST_MS, max(0.0, left)), self._spoilt, "not whole in time")
             if self._reader.told == 200:
                 self._calls.delivered(self._call)
@@ -154,6 +159,10 @@
     def _not_connected(self) -> None:
         self._ends(keep=False)
 
+    def stays(self) -> None:
+        """The call must not be written any more: it never left."""
+        self._ends(keep=False, stays=True)
+
     def _timed_out(self) -> None:
         self._ends(keep=False, patience_over=True)
 
@@ -165,7 +174,7 @@
         self._ends(keep=False, spoilt=True)
 
     def _ends(self, keep: bool, whole: bool = False, patience_over: bool = False,
-              spoilt: bool = False) -> None:
+              spoilt: bool = False, stays: bool = False) -> None:
         call, answer = self._call, self._answer
         if not holds(call, "a call ends once"):
             return
@@ -180,6 +189,8 @@
                 self._calls.delivered(call)
         elif answer and whole:          # of any other, a part proves nothing
             kind, over, wait_ms = kind_of(answer)
+        elif stays:
+            kind = our.UNSENT
         elif not self._sent or self._link is None or self._link.unsent:
             kind = our.CONNECT_FAILED
         elif spoilt:
@@ -191,12 +202,13 @@
 
 
 class Calls:
-    """All connections to endpoints. told(call, outcome) hears of each call's end, once."""
+    """All connections to endpoints. up(call) hears of a dialled connection that has come up: its call waits
+    for go(). told(call, outcome) hears of each call's end, once."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float], idle_ms: float,
-                 dial_ms: float, most_idle: int, delivered: Callable, told: Callable) -> None:
+                 dial_ms: float, most_idle: int, up: Callable, delivered: Callable, told: Callable) -> None:
         self.loop, self._clock, self.idle_ms, self.dial_ms = loop, clock, idle_ms, dial_ms
-        self._most_idle, self.delivered, self._told = most_idle, delivered, told
+        self._most_idle, self.up, self.delivered, self._told = most_idle, up, delivered, told
         self.addresses: dict[str, tuple[str, int]] = {}
         self._spoilt = self.transmitted = 0     # transmitted: written whole to endpoints, for the figures
         self._idle: dict[Line, None] = {}               # oldest first
@@ -205,8 +217,8 @@
     def later(self, ms: float, what: Callable, *words: object) -> asyncio.TimerHandle:
         return self.loop.call_later(ms / 1000.0, what, *words)
 
-    def since(self, call: Call) -> float:
-        return self._clock() - call.started
+    def since(self, moment: float) -> float:
+        return self._clock() - moment
 
     def count_spoilt(self, endpoint: str, problem: str) -> None:
         self._spoilt += 1
@@ -227,12 +239,26 @@
             self.addresses[endpoint] = where
             self.close_idle(endpoint)
 
-    def begin(self, call: Call) -> None:
+    def begin(self, call: Call) -> bool:
+        """Finds it a connection: True if there is one that lies idle, else one is dialled."""
         holds(call.doc not in self._busy, "one transmission of a document is out")
         call.started = self._clock()
         line = self._newest(call.endpoint) or Line(self, call.endpoint, self.addresses[call.endpoint])
         self._busy[call.doc] = line
         line.begin(call)
+        return line.waits(call)
+
+    def waiting(self, call: Call) -> bool:
+        """True if it has its connection still, to where its endpoint is now, and was not written."""
+        line = self._busy.get(call.doc)
+        return line is not None and line.waits(call) and line.where == self.addresses.get(call.endpoint)
+
+    def go(self, call: Call, may: bool) -> None:
+        """Writes a call that has its connection, or ends it as one that never left."""
+        line = self._busy.get(call.doc)
+        if line is not None and line.waits(call):
+            call.written = self._clock()
+            (line.write if may else line.stays)()
 
     def _newest(self, endpoint: str) -> Line | None:
         while line := next((each for each in reversed(self._idle) if each.endpoint == endpoint), None):
@@ -253,7 +279,7 @@
         else:
             line.close()                # before the outcome is told: no two of one document are ever out
         kind, *rest = how
-        elapsed_ms = self.since(call)
+        elapsed_ms = self.since(call.started)
         self._told(call, our.Outcome(kind, call.number, elapsed_ms, *rest, kept))
 
     def drop(self, line: Line) -> None:
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -99,13 +99,12 @@
         return owed
 
     def call(self, owed: Owed, zone: str, when: float) -> None:
-        """A transmission is about to leave. Raises OSError where it could not be noted: it must not."""
-        owed.sent += 1
+        """A transmission is about to be written. Raises OSError where it could not be noted: it must not."""
         self._append(["call", owed.id, zone, when])
-        owed.out = zone, when
+        owed.sent, owed.out = owed.sent + 1, (zone, when)
 
     def back(self, owed: Owed, doubt: bool, failed: bool) -> None:
-        """The transmission that was out has its outcome."""
+        """The transmission that was decided has its outcome, whether it was written or not."""
         self._came_back(owed, doubt, failed)
         self._note(["back", owed.id, int(doubt), int(failed)])
         self._tidy()
@@ -141,7 +140,9 @@
 
     @staticmethod
     def _came_back(owed: Owed, doubt: int, failed: int) -> None:
-        if owed.out and doubt:
+        if owed.out is None:
+            owed.sent += 1              # it was not written, and counts all the same
+        elif doubt:
             owed.doubt.append(owed.out)
         owed.failed, owed.out = owed.failed + bool(failed), None
 
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -51,15 +51,16 @@
         self._ledger = Ledger(folder, config.disk_bytes, "" if self._holds else f"{config.seed:x}")
         clients = config.sockets * CLIENTS_SHARE // 100
         idle = max(8, config.sockets - clients - OTHERS - config.settings.slots)
-        self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, idle, self._delivered,
-                            self._ended)
+        self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, idle, self._up,
+                            self._delivered, self._ended)
         types = {kind.name: kind.expiry_ms for kind in config.settings.types}
         self._front = Front(loop, types, clients, self._serves, self._handed)
         self._watch = Watch(loop, config.discovery, config.kinds, self._listed, self._told)
         self._notices = Notices(loop, config.discovery, self._acknowledged)
         self._inbox: list[tuple] = []           # the events of this pass
         self._fresh: dict[str, Handed] = {}     # handed in during this turn, not yet answered
-        self._starting: dict[str, Call] = {}    # calls that leave at the end of this turn
+        self._starting: dict[str, Call] = {}    # calls that begin at the end of this turn
+        self._connected: list[Call] = []        # calls with their connection: they leave at its end
         self._answers: dict[str, tuple[str, float]] = {}    # by id, for those that come again
         self._entries: dict[str, our.Endpoint] = {}     # each endpoint listed, as discovery lists it
         self._by_hand = ByHand(folder, self._lasting.ms)
@@ -201,6 +202,10 @@
             self._unheard.clear()
         self._unheard.append((mode, [entry for entry, _ in listed]))
 
+    def _up(self, call: Call) -> None:
+        self._connected.append(call)
+        self._soon()
+
     def _delivered(self, call: Call) -> None:
         """The first line of an answer says so; the rest of it cannot change that."""
         owed = self._ledger.owed.get(call.doc)
@@ -237,11 +242,15 @@
                 self._take_on(now, *words)
             else:
                 self._guarded(tell, now, *words)
-        if self._closing_at is None or not self._handing and self._loop.time() < self._closing_at + CALL_S:
+        if self._calling():
             self._guarded(self._core.turn, now)
             self._turned_at = now
         self._settle(now)
 
+    def _calling(self) -> bool:
+        """False once this process makes no more calls: towards its end, or when it hands over."""
+        return self._closing_at is None or not self._handing and self._loop.time() < self._closing_at + CALL_S
+
     def _guarded(self, tell, *words: object) -> bool:
         try:
             tell(*words)
@@ -317,18 +326,31 @@
                 self._unsent(call)
                 continue
             call.body = owed.body
-            try:
-                self._ledger.call(owed, self._entries[call.endpoint].zone, wall)
-            except OSError as problem:
-                say(log, "not sent", logging.ERROR, problem=problem)
-                self._unsent(call)
-            else:
-                leaving.append(call)
+            leaving.append(call)
         if self._witness and (leaving or self._refused or self._failed):
             self._witness.turn([(call.doc, call.endpoint) for call in leaving], self._refused, self._failed)
         self._refused, self._failed = [], []
-        for call in leaving:
-            self._calls.begin(call)
+        connected, self._connected = self._connected, []
+        for call in [*connected, *(each for each in leaving if self._calls.begin(each))]:
+            self._calls.go(call, self._leaves(now, call))
+
+    def _leaves(self, now: float, call: Call) -> bool:
+        """The moment a call takes effect is its writing: what holds then counts, and is in the ledger first.
+
+        Guards against a connection that comes up late: meanwhile a wait may have been told, the endpoint been
+        drained, gone or moved, the document ended, or this process told to end. May hurt: the connection is
+        closed, and the next call there dials again."""
+        owed = self._ledger.owed.get(call.doc)
+        if not (owed and owed.notice is None and self._calling() and self._calls.waiting(call)
+                and self._core.stands(now, call.doc)):
+            return False
+        try:
+            self._ledger.call(owed, self._entries[call.endpoint].zone, self._lasting.ms())
+        except OSError as problem:
+            say(log, "not sent", logging.ERROR, problem=problem)
+            return False
+        call.patience_ms = min(call.patience_ms, owed.due - now)
+        return True
 
     def _count(self, doc_id: str, kind: str, failed: bool) -> None:
         """A document ended undelivered."""
@@ -337,8 +359,7 @@
 
     def _unsent(self, call: Call | None) -> None:
         if call:
-            outcome = our.Outcome(our.UNSENT, call.number, 0.0, False)
-            self._happened(self._core.outcome, call.doc, call.endpoint, outcome)
+            self._ended(call, our.Outcome(our.UNSENT, call.number, 0.0, False))
 
     def _report(self) -> None:
         """A line now and then for who looks after it."""
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+from pathlib import Path
 
 from birchstack import interface as our
 from birchstack.decide import Sender
@@ -131,6 +132,35 @@
     return raw
 
 
+def dialling(port):
+    """How many connections to a port are asked for and not up."""
+    lines = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return sum(words[2].endswith(f":{port:04X}") and words[3] == "02" for words in lines)
+
+
+class Shut:
+    """An endpoint whose accept queue is full: whoever dials waits, until the story opens it."""
+
+    def __init__(self):
+        self._door = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.port = self._door.getsockname()[1]
+        self.place, self.heard = f"127.0.0.1:{self.port}", []
+        self._filler = socket.create_connection(("127.0.0.1", self.port))
+
+    async def dialled(self, world):
+        assert await world.until(lambda: dialling(self.port) == 1)
+
+    async def open(self):
+        """heard: what each connection carries, up to its end or its first bytes."""
+        async def serve(reader, writer):
+            self.heard.append(await reader.read(65536))
+            writer.close()
+        filler, _ = self._door.accept()
+        filler.close()
+        self._filler.close()
+        self._server = await asyncio.start_server(serve, sock=self._door)
+
+
 OK_200 = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 SILENT, RESET = "silent", "reset"
 
@@ -158,11 +188,11 @@
 class World:
     """answers: what the endpoint says to its next calls; status: what the platform says to notices."""
 
-    def __init__(self, folder, known=True, **limits):
+    def __init__(self, folder, known=True, changes=None, **limits):
         self.folder, self.answers, self.calls, self.notices, self.asked = folder, [], [], [], []
         self.status, self.watchers, self.lines, self.connections, self.process = 204, [], [], 0, None
         self.port, self._known, self._limits, self.out, self.most_out = free_port(), known, limits, 0, 0
-        self.ops = free_port()
+        self.ops, self._changes = free_port(), changes or {}
         self.on_call = lambda: None
 
     async def __aenter__(self):
@@ -186,7 +216,7 @@
         """Writes the sender's configuration file, and tells its path."""
         known = {"rev": 7, "all": True, "targets": [self.entry()] if self._known else []}
         told = config(self.folder, listen=f"127.0.0.1:{self.port}", known=known, ops=f"127.0.0.1:{self.ops}",
-                      limits=self._limits, **{"discovery": self.agent, **changes})
+                      limits=self._limits, **{"discovery": self.agent, **self._changes, **changes})
         path = self.folder.parent / f"{self.folder.name}.json"
         path.write_text(json.dumps(told))
         return str(path)
@@ -282,6 +312,8 @@
             self.most_out = max(self.out, self.most_out)
             if said == SILENT:
                 await reader.read()
+            elif isinstance(said, asyncio.Future):      # the story says when, and what
+                writer.write(await said)
             elif said == RESET:
                 writer.transport.abort()
             else:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -131,12 +131,12 @@
 
 @mutant("bodies lose their last byte")
 def _(patch):
-    old = calls.Line._write
+    old = calls.Line.write
 
     def write(self):
         self._call.body = self._call.body[:-1]
         old(self)
-    patch.set(calls.Line, "_write", write)
+    patch.set(calls.Line, "write", write)
 
 
 @mutant("one call in a hundred goes to another destination")
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -41,7 +41,7 @@
         self.timers.append(ms)
         return Timer()
 
-    def since(self, call):
+    def since(self, moment):
         return 0.0
 
     def count_spoilt(self, endpoint, problem):
@@ -61,6 +61,7 @@
     line = Line(desk, "s-1", ("127.0.0.1", 1))
     line.opened(link)
     line.begin(Call("d", 0, "s-1", b"body", 500.0))
+    line.write()
     return line
 
 
