--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -54,6 +54,7 @@
     endpoint: str
     body: bytes
     patience_ms: float                  # from when it is written
+    repeat_key: str | None = None       # passed on with every transmission, where its client sent one
     started: float = 0.0                # when it was decided
     written: float = 0.0
 
@@ -107,7 +108,8 @@
         call = self._call
         self._rest()
         self._timer = self._calls.later(call.patience_ms, self._timed_out)
-        fields = {"Request-Id": call.doc, "Request-Timeout-Ms": max(1, int(call.patience_ms))}
+        fields = {"Request-Id": call.doc, "Request-Timeout-Ms": max(1, int(call.patience_ms)),
+                  **({"Idempotency-Key": call.repeat_key} if call.repeat_key else {})}
         host = f"{self.where[0]}:{self.where[1]}"
         self._sent = True
         self._link.write(http1.request("POST", PATH, host, fields, call.body))
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -27,6 +27,7 @@
 LATE_MS = 1000.0                        # a document's time may be so much above what its type has
 ID = re.compile("[0-9A-Za-z._~:+/=@-]{1,128}")
 NUMBER = re.compile("[0-9]{1,9}")
+TEXT = re.compile("[ -~]{1,128}")       # a key, a repeat's key or a tenant's name
 log = logging.getLogger(__name__)
 
 
@@ -48,8 +49,8 @@
 class Handed:
     """One document as a client handed it in, checked before its body comes, and the way back to it."""
 
-    __slots__ = ("id", "type", "destination", "key", "left_ms", "body", "keep", "_client", "answer", "again",
-                 "_began")
+    __slots__ = ("id", "type", "destination", "key", "repeat_key", "tenant", "left_ms", "body", "keep",
+                 "_client", "answer", "again", "_began")
 
     def __init__(self, client: Client, head: http1.Request, front: Front) -> None:
         fields = head.fields
@@ -73,6 +74,9 @@
         if not front.serves(self.destination):
             raise Refused("destination", 404)
         self.key = _words(fields["cookie"], ";").get("thread") or None if "cookie" in fields else None
+        self.repeat_key, self.tenant = fields.get("idempotency-key") or None, fields.get("tenant") or None
+        if not all(TEXT.fullmatch(text) for text in (self.key, self.repeat_key, self.tenant) if text):
+            raise Refused("a key or the tenant")
 
     def told(self) -> tuple[float, bool]:
         """How long ago the client sent it, as far as can be seen, and whether the client has gone."""
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -37,6 +37,7 @@
     expiry: float
     number: int                 # of its body's file
     size: int
+    repeat_key: str | None = None   # by which its endpoints know a repeat (Idempotency-Key)
     body: bytes = b""
     due: float = 0.0            # its expiry on the sender's own clock; not on disk
     sent: int = 0               # transmissions made
@@ -83,9 +84,9 @@
         return bodies + blocks(2 * lines) + blocks(lines) + GROWN <= self._limit    # old file and new one
 
     def take(self, doc_id: str, kind: str, destination: int, key: str | None, expiry: float,
-             body: bytes) -> Owed:
+             body: bytes, repeat_key: str | None = None) -> Owed:
         """Raises OSError where it could not be kept; nothing is owed then."""
-        owed = Owed(doc_id, kind, destination, key, expiry, self._next, len(body), body)
+        owed = Owed(doc_id, kind, destination, key, expiry, self._next, len(body), repeat_key, body)
         self._next += 1
         try:
             if body:
@@ -168,7 +169,8 @@
 
     @staticmethod
     def _taken(owed: Owed) -> list:
-        return ["take", owed.id, owed.type, owed.destination, owed.key, owed.expiry, owed.number, owed.size]
+        return ["take", owed.id, owed.type, owed.destination, owed.key, owed.expiry, owed.number, owed.size,
+                *([owed.repeat_key] if owed.repeat_key else [])]
 
     def _append(self, words: list) -> None:
         line = self._line(words)
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -288,8 +288,9 @@
         else:
             handed.left_ms -= age
             self._fresh[handed.id] = handed
-            if not self._guarded(self._core.document, now, handed.id, handed.destination, handed.type,
-                                 handed.left_ms, handed.key) and self._fresh.pop(handed.id, None):
+            words = (handed.id, handed.destination, handed.type, handed.left_ms, handed.key, our.NO_PAST,
+                     handed.tenant)
+            if not self._guarded(self._core.document, now, *words) and self._fresh.pop(handed.id, None):
                 self._guarded(self._core.withdrawn, now, handed.id)
                 self._answer(handed, CLOSED, advice_ms)
 
@@ -308,7 +309,7 @@
         for handed in fresh.values():
             try:
                 owed = self._ledger.take(handed.id, handed.type, handed.destination, handed.key,
-                                         wall + handed.left_ms, handed.body)
+                                         wall + handed.left_ms, handed.body, handed.repeat_key)
             except OSError as problem:
                 say(log, "not taken on", logging.ERROR, problem=problem)
                 self._happened(self._core.withdrawn, handed.id)
@@ -325,7 +326,7 @@
                          "only what is owed is sent, and only to what is listed"):
                 self._unsent(call)
                 continue
-            call.body = owed.body
+            call.body, call.repeat_key = owed.body, owed.repeat_key
             leaving.append(call)
         if self._witness and (leaving or self._refused or self._failed):
             self._witness.turn([(call.doc, call.endpoint) for call in leaving], self._refused, self._failed)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -123,8 +123,8 @@
 def _(patch):
     old = decide.Sender.document
 
-    def document(self, now, doc_id, destination, type_name, left_ms, key, past=our.NO_PAST):
-        old(self, now, doc_id, destination, type_name, left_ms * 3.0, key, past)
+    def document(self, now, doc_id, destination, type_name, left_ms, key, past=our.NO_PAST, tenant=None):
+        old(self, now, doc_id, destination, type_name, left_ms * 3.0, key, past, tenant)
     patch.set(decide.Sender, "document", document)
     patch.set(sender.Node, "_look_for_overdue", never)
 
@@ -271,11 +271,11 @@
 def _(patch):
     old, call = ledger.Ledger.take, ledger.Ledger.call
 
-    def take(self, doc_id, kind, destination, key, expiry, body):
+    def take(self, doc_id, kind, destination, key, expiry, body, repeat_key=None):
         try:
-            return old(self, doc_id, kind, destination, key, expiry, body)
+            return old(self, doc_id, kind, destination, key, expiry, body, repeat_key)
         except OSError:
-            self.owed[doc_id] = ledger.Owed(doc_id, kind, destination, key, expiry, 0, 0, body)
+            self.owed[doc_id] = ledger.Owed(doc_id, kind, destination, key, expiry, 0, 0, repeat_key, body)
             return self.owed[doc_id]
 
     def note_call(self, owed, zone, when):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,7 @@
 class Handed:
     """A document as a second front would hand it in."""
 
-    type, destination, key, body = "sync", 1, None, b"x"
+    type, destination, key, repeat_key, tenant, body = "sync", 1, None, None, None, b"x"
 
     def __init__(self, doc_id="d", left_ms=5000.0, gone=False):
         self.id, self.left_ms, self._gone, self.said, self.again = doc_id, left_ms, gone, [], []
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -34,6 +34,20 @@
     play(tmp_path, story)
 
 
+def test_the_key_of_a_repeat_goes_with_each_transmission_also_after_a_restart(tmp_path):
+    async def story(world):
+        world.answers = [RESET, SILENT]
+        assert (await world.hand_in("d1", more="Idempotency-Key: 3a7f \"x\"\r\nTenant: t\r\n"))[0] == 202
+        assert await world.until(lambda: len(world.calls) == 2)
+        await world.kill(signal.SIGKILL)
+        await world.start()
+        assert await world.until(lambda: len(world.calls) == 3)
+        assert [fields["idempotency-key"] for _, _, fields in world.calls] == ['3a7f "x"'] * 3
+        assert (await world.hand_in("d2"))[0] == 202 and await world.until(lambda: len(world.calls) == 4)
+        assert "idempotency-key" not in world.calls[3][2]
+    play(tmp_path, story)
+
+
 def test_no_time_left_is_refused_within_the_turn(tmp_path):
     async def story(world):
         status, fields = await world.hand_in(left=0)
@@ -88,7 +102,10 @@
 @pytest.mark.parametrize("bad", [
     post().replace(b"Request-Id: d1\r\n", b""), post("a b"), post(more="Request-Id: d1\r\n"), post("x" * 200),
     post(dest="x"), post(dest="1e2"), post(dest=""), post(dest=70000), post(dest="-1"), post(dest="1,dest=2"),
-    post(kind="what"), post(kind="syncs"), post(left="soon"), post(left="-5"), post(left=99999),
+    post(kind="what"), post(kind="syncs"),
+    post(more=f"Idempotency-Key: {'k' * 129}\r\n"), post(more="Idempotency-Key: \xe9\r\n"),
+    post(more=f"Cookie: thread={'k' * 129}\r\n"), post(more=f"Tenant: {'k' * 129}\r\n"),
+    post(left="soon"), post(left="-5"), post(left=99999),
     post().replace(b"Content-Length: 5", b"Content-Length: ten"), post(more="Transfer-Encoding: chunked\r\n"),
     post().replace(b"\r\n", b"\n"), b"\x16\x03\x01", b"GET 0000\r\n\r\n",
     b"DELETE /up HTTP/1.1\r\nHost: a\r\n\r\n"])
