A restart tries what it found; a watch is cut into whole objects; nobody is lost at the door

Less room in new settings gave up what did not fit. Now a start waits for the first list (an agent answers at once; half a second at most), a known list alone never makes a destination hopeless, room is made of documents that came since the start. What is given up with no call is counted and logged by reason. Not changed: a told wait is kept over a restart. 2. It was split at every newline, so an indented list broke it again and again; any byte set its clock of silence back, so a list that never ended held it open; a head that never came took 5 s; a list right before the end of its answer was dropped. Now lines are joined to whole objects by their brackets, and only an object or a beat sets the clock back. 3. The listener closed while clients stood in the accept queue (reset by the kernel), or one pass after asyncio had let them in (lost by it); the process ended 0.8 s after SIGTERM with clients connected who then asked. Now the door shuts after three passes in which nobody came, and the end waits for the last answers. An idle connection ends by half closing, so that a request that crosses meets an end and no reset.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -126,8 +126,7 @@
         return self.rate(now) / max(1, len(self.routes))
 
     def used(self, now: float) -> bool:
-        return bool(self.line) or self.out > 0 or any(route.endpoints or now < route.wait_until
-                                                      for route in self.routes)
+        return bool(self.line or self.out or any(it.endpoints or now < it.wait_until for it in self.routes))
 
     def troubled(self, now: float) -> bool:
         return any(route.troubled(now) for route in self.routes)
@@ -151,6 +150,7 @@
         self._firsts, self._repeats = (Ring(0.0, BUCKET_MS, BUCKETS) for _ in range(2))
         self._dialled, self._lying, self._repeats_held = [], {}, False  # called, and idle, since a turn
         self._failed: dict[int, Destination] = {}   # with documents that failed before a restart
+        self._sure = False              # whether a list was told since the start: one from before may be old
         self._busy = self._level = self._turned = 0.0   # shares of slots taken
         self._ask_ms = ASK_MS           # not all at one time: the list can answer only so many
         self._ask_at = self._draw(0.0, ASK_MS) if settings.list_on_request else float("inf")
@@ -159,7 +159,7 @@
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
         """The list, or changes to it; one that is ready again after a drain, or out by hand, is cold."""
-        self._stirred = True
+        self._stirred, self._sure = True, self._sure or mode in (our.CHANGES, our.WHOLE)
         if mode == our.FAILED:
             longest = min(LONGEST_ASK_MS, 2.0 * (self._set.list_every_ms or LONGEST_ASK_MS))  # or deemed told
             self._ask_ms = min(longest, self._ask_ms * 2.0)
@@ -207,7 +207,7 @@
             doc.keyline = self._keys.setdefault(key, Keyline())
             doc.keyline.docs.append(doc)
             if doc.doubt:               # what was out when its sender ended may still run
-                doc.keyline.rest_until, doc.keyline.rested_by = now + self._set.key_rest_ms, doc
+                doc.keyline.rest(now + self._set.key_rest_ms, doc)
         self._held[doc_id], doc.path = doc, self._deliver(doc)
         self._resume(now, doc, None)
 
@@ -229,7 +229,7 @@
         if outcome.kind not in NEVER_RAN and outcome.kind != OK:
             doc.doubt.append((call.sent_at, call.ep.zone))
             if doc.keyline:
-                doc.keyline.rest_until, doc.keyline.rested_by = now + self._set.key_rest_ms, doc
+                doc.keyline.rest(now + self._set.key_rest_ms, doc)
         if outcome.over and not doc.over:
             self._end(doc)
         elif not doc.over:
@@ -488,24 +488,25 @@
     def _hopeless(self, now: float) -> None:
         """What no place can take before its last call is answered now, with when to come back: held until
         its expiry, the client could not ask again. Meets whole destinations drained, gone, out by hand or
-        no longer listed, and told waits past the time left; one never listed waits for a list that is late
-        (an empty start, an asked list). May hurt where endpoints are listed again soon."""
+        no longer listed, and told waits past the time left; one never listed, or only before the start, waits
+        for a list that is late. May hurt where endpoints are listed again soon."""
+        never = float("inf") if self._sure else now
         for dest in [dest for dest in self._destinations.values() if dest.line and dest.routes]:
             routes = [route for route in dest.routes if any(ep.state == READY for ep in route.endpoints)]
-            opens = min((max(route.wait_until, route.hold_until) for route in routes), default=float("inf"))
+            opens = min((max(route.wait_until, route.hold_until) for route in routes), default=never)
             for doc in [doc for doc in dest.line if opens > self._last_call(doc)]:
                 dest.line.remove(doc)
                 doc.back_ms = opens - now
                 self._resume(now, doc, None)
 
     def _make_room(self, now: float) -> None:
-        while len(self._held) >= self._set.max_held:
+        while len(self._held) >= self._set.max_held:    # what a restart found is tried, in less room too
             lines = [(each.troubled(now), len(each.line), -number) for number, each in
-                     self._destinations.items() if any(not doc.doubt for doc in each.line)]
+                     self._destinations.items() if any(map(Document.fresh, each.line))]
             if not lines:
                 return
             line = self._destinations[-max(lines)[2]].line
-            self._finish(min((self._value(now, doc), doc.order, doc) for doc in line if not doc.doubt)[2])
+            self._finish(min((self._value(now, doc), doc.order, doc) for doc in line if doc.fresh())[2])
 
     # What outcomes teach
 
--- a/birchstack/emulator/network.py
+++ b/birchstack/emulator/network.py
@@ -312,6 +312,9 @@
     def close(self) -> None:
         self._net.hosts.pop(self._where, None)
 
+    def is_serving(self) -> bool:
+        return self._where in self._net.hosts
+
     async def wait_closed(self) -> None:
         return None
 
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -11,6 +11,7 @@
 OUTCOMES = (OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, UNSENT)
 GONE, READY, DRAINING = "gone", "ready", "draining"
 CHANGES, WHOLE, FAILED = "changes", "whole", "failed"
+KNOWN = "known"                         # a whole list that was had before a start, and may be old
 
 
 @dataclass(frozen=True, slots=True)
--- a/birchstack/net/config.py
+++ b/birchstack/net/config.py
@@ -178,3 +178,20 @@
     if again and isinstance(raw, dict) and raw.get("discovery"):
         environment = {key: text for key, text in environment.items() if key != "BALANCER_DISCOVERY"}
     return decode(raw, environment)
+
+
+def fits(fresh: Config, old: Config, held: set[str], listed: int) -> None:
+    """While it runs: refuses what the documents and endpoints at hand do not allow. held: types of documents;
+    listed: the last kind of which an endpoint is listed."""
+    effects = {kind.name: kind.effect for kind in fresh.settings.types}
+    before = {kind.name: kind.effect for kind in old.settings.types}
+    for name in sorted(held):
+        at = f"settings.services: documents of {name!r} are held, and it"
+        if name not in effects:
+            raise ConfigError(f"{at} is missing")
+        if effects[name] != before.get(name, effects[name]):
+            raise ConfigError(f"{at} changes its effect")
+    both = min(len(fresh.kinds), len(old.kinds))
+    if fresh.kinds[:both] != old.kinds[:both] or listed >= max(1, both):
+        raise ConfigError("settings.hostTypes: while it runs, kinds come and go only at the end, and "
+                          "none that is listed may go")
--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import logging
+import re
 from collections.abc import Callable
 
 from birchstack import interface as our
@@ -17,8 +18,10 @@
 from birchstack.net.log import say
 
 BEAT_S, BEATS = 2.0, 2.5                # a line comes so often; after so many without one it is silent
-AGAIN_S = 0.5
-MOST_LINE = 4 << 20
+ANSWER_S, AGAIN_S = 2.0, 0.5            # an answer begins at once; a watch that ended is asked for again
+FIRST_S = 0.5                           # the first list of a start comes at once, or the one known counts
+MOST_LIST = 4 << 20
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 MOST_REV = (1 << 63) - 1                # what every keeper of versions can hold
 STATES = {"active": our.READY, "leaving": our.DRAINING, "left": our.GONE}
 log = logging.getLogger(__name__)
@@ -34,24 +37,39 @@
 
 class Watch:
     """listed(mode, entries) hears of every list and change. told(line, source) hears of each before, and may
-    say no: the list stays as it was."""
+    say no: the list stays as it was.
+
+    One clock tells its silence: only a whole list, a change or a beat sets it back. Bytes alone do not: a
+    list that never ends would keep a broken watch open."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], kinds: tuple[str, ...],
                  listed: Callable, told: Callable[[dict, str], bool] = lambda told, source: True) -> None:
         self._loop, self._where, self._kinds, self._listed, self._told = loop, where, kinds, listed, told
         self._version, self._heard_at = 0, loop.time()
+        self._known: tuple[dict, list, int] | None = None   # a start's list, until a watch says more
         self._link: Link | None = None
         self._dial: Dial | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._held = bytearray()
+        self._held, self._lines = bytearray(), []       # half a line; the lines of half an object,
+        self._depth = self._size = 0    # its open brackets, and its size
         self._reader = http1.Responses(max_body=None)
         self._stopped = False
+        self._first = loop.create_future()      # done with the first list of a watch
 
     def start(self, known: dict) -> None:
+        """known, had before, may be old: it names endpoints that went while no process ran. It waits for what
+        discovery says of it; see first()."""
         if known.get("targets") is not None:
-            self._line(json.dumps({**known, "all": True}).encode(), "known")
+            self._known = self._read(json.dumps({**known, "all": True}))
+            self._version = self._known[2] if self._known else 0
         self._ask()
 
+    async def first(self) -> None:
+        """Returns with the first list. It comes at once; only where discovery is silent, known counts as it
+        is."""
+        await asyncio.wait([self._first], timeout=FIRST_S)
+        self._from_known()
+
     def move(self, where: tuple[str, int], kinds: tuple[str, ...]) -> None:
         """Goes on at another address, from the version that it has; with other kinds, from the whole list."""
         if kinds != self._kinds:
@@ -72,8 +90,9 @@
         self._hang_up()
         if self._stopped:
             return
-        self._reader, self._held = http1.Responses(max_body=None), bytearray()
-        self._rearm()
+        self._reader, self._held, self._lines = http1.Responses(max_body=None), bytearray(), []
+        self._depth = self._size = 0
+        self._timer = self._loop.call_later(ANSWER_S, self._ask)
         self._dial = Dial(self._loop, self._where, self, self._again)
 
     def _hang_up(self) -> None:
@@ -89,7 +108,8 @@
         self._hang_up()
         self._timer = self._loop.call_later(AGAIN_S, self._ask)
 
-    def _rearm(self) -> None:
+    def _heard(self) -> None:
+        self._heard_at = self._loop.time()
         if self._timer:
             self._timer.cancel()
         self._timer = self._loop.call_later(BEAT_S * BEATS, self._ask)
@@ -104,41 +124,76 @@
         self._again()
 
     def received(self, data: memoryview) -> None:
-        self._rearm()
-        self._heard_at = self._loop.time()
+        ended = False
         try:
             for event in self._reader.feed(data):
-                if isinstance(event, http1.Response) and event.status != 200:
-                    raise http1.Malformed(f"status {event.status}")
-                if event is http1.END:
-                    self._again()
-                    return
-                if isinstance(event, bytes):
+                if isinstance(event, http1.Response):
+                    if event.status != 200:
+                        raise http1.Malformed(f"status {event.status}")
+                    self._heard()
+                elif event is http1.END:
+                    ended = True                # what came whole before it counts
+                    break
+                else:
                     self._held += event
-            *lines, rest = self._held.split(b"\n")
-            if len(rest) > MOST_LINE:
-                raise http1.Malformed("line too long")
-            self._held = rest
+            *lines, self._held = self._held.split(b"\n")
             for line in lines:
-                if line.strip() and not self._line(line):
-                    raise http1.Malformed("list")
+                self._line(line)
+            if self._size + len(self._held) > MOST_LIST:
+                raise http1.Malformed("list too long")
+            if ended:
+                self._again()
         except http1.Malformed as problem:
             say(log, "the watch broke", logging.WARNING, problem=problem)
             self._again()
 
-    def _line(self, line: bytes | bytearray, source: str = "") -> bool:
-        """Reads a whole list or a change; what cannot be read leaves the list as it was."""
+    def _line(self, line: bytes | bytearray) -> None:
+        """One line: a beat, a list or a change, or a part of one that comes indented. No text of JSON goes
+        over the end of a line, so each line's brackets can be counted by themselves."""
+        if not line.strip():
+            if not self._lines:
+                self._heard()
+            return
+        bare = STRING.sub(b"", line)
+        self._depth += sum(map(bare.count, (b"{", b"["))) - sum(map(bare.count, (b"}", b"]")))
+        self._lines.append(line)
+        self._size += len(line)
+        if self._depth <= 0:
+            whole, self._lines, self._depth, self._size = b"\n".join(self._lines), [], 0, 0
+            if not self._list(whole):
+                raise http1.Malformed("list")
+            self._heard()
+
+    def _read(self, text: bytes | str) -> tuple[dict, list, int] | None:
+        """A whole list or a change: as told, its entries, its version; None where it cannot be read."""
         try:
-            told = json.loads(line)
+            told = json.loads(text)
             listed = entries(told["targets"], self._kinds)
             rev = told["rev"]
             if isinstance(rev, bool) or not isinstance(rev, int) or not 0 <= rev <= MOST_REV:
                 raise ValueError(f"rev: {rev!r} is not a version")
-        except (ValueError, KeyError, TypeError, AttributeError) as problem:
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as problem:
             say(log, "malformed list", logging.WARNING, problem=f"{type(problem).__name__}: {problem}")
+            return None
+        return told, listed, rev
+
+    def _list(self, text: bytes) -> bool:
+        """What cannot be read leaves the list as it was."""
+        read = self._read(text)
+        if read is None:
             return False
-        if not self._told(told, source or "{}:{}".format(*self._where)):
-            return True
-        self._version = rev
-        self._listed(our.WHOLE if told.get("all") else our.CHANGES, listed)
+        told, listed, rev = read
+        if told.get("all"):
+            self._known = None
+        self._from_known()                      # what changed since the list that was known, on top of it
+        if self._told(told, "{}:{}".format(*self._where)):
+            self._version = rev
+            self._listed(our.WHOLE if told.get("all") else our.CHANGES, listed)
+        if not self._first.done():
+            self._first.set_result(None)
         return True
+
+    def _from_known(self) -> None:
+        known, self._known = self._known, None
+        if known and self._told(known[0], "known"):
+            self._listed(our.KNOWN, known[1])
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -23,6 +23,7 @@
 READY_PATHS = ("/up", "/alive")
 WHOLE_S, IDLE_S = 2.0, 3.0              # a request is whole so long after its connection or its first byte;
 SWEEP_S = 0.25                          # a connection without one is closed after so long
+QUIET = 3                               # passes of the loop in which nobody came, before the door is shut
 MOST_ASKED = 8                          # so many requests may wait for their answer on one connection
 LATE_MS = 1000.0                        # a document's time may be so much above what its type has
 ID = re.compile("[0-9A-Za-z._~:+/=@-]{1,128}")
@@ -213,7 +214,7 @@
         if self._owed or self.link.unread():
             return
         if self._head is None and self._reader.between:
-            self.drop()
+            self.flush(close=True)      # not reset: that would look the same as a request cut off
         else:
             self._say(408, "not whole in time", close=True)
 
@@ -233,15 +234,22 @@
         self._clients: dict[Client, None] = {}          # least recently heard of first
         self._leaving: dict[Link, None] = {}            # told their last, not closed yet
         self._server: asyncio.Server | None = None
+        self._machine: Machine | None = None
         self.time, self.closing, self.drained, self.counts = loop.time, False, False, {}
 
     async def open(self, machine: Machine, where: tuple[str, int]) -> None:
+        self._machine = machine
         self._server = await machine.listen(self._loop, where, lambda: Link(Client(self)))
         self._loop.call_later(SWEEP_S, self._sweep)
 
     def __len__(self) -> int:
         return len(self._clients)
 
+    def busy(self) -> bool:
+        """True until nobody can come any more, and all that came have had their answer and know it."""
+        listens = self._server is not None and self._server.is_serving()
+        return bool(listens or self._clients or self._leaving)
+
     def count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
         if self.counts[what] <= 3:
@@ -305,7 +313,14 @@
         for client in [each for each in self._clients if each.asked and each.idle] if self.ending else []:
             client.flush(close=True)
 
-    def shut(self) -> None:
-        """Listens no more."""
-        if self._server:
+    def shut(self, quiet: int = 0) -> None:
+        """Listens no more, once all who came were let in: the kernel resets those who still wait at a door
+        that closes, and they may have asked already; asyncio loses those it let in and has not given their
+        transport, one pass later."""
+        if not self._server:
+            return
+        quiet = 0 if self._machine.knocked(self._server) else quiet + 1
+        if quiet < QUIET:
+            self._loop.call_later(0.0, self.shut, quiet)
+        else:
             self._server.close()
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -39,6 +39,7 @@
     size: int
     repeat_key: str | None = None   # by which its endpoints know a repeat (Idempotency-Key)
     body: bytes = b""
+    found: bool = False         # at the start, from a process before this one
     due: float = 0.0            # its expiry on the sender's own clock; not on disk
     sent: int = 0               # transmissions made
     failed: int = 0             # of those, failed otherwise than by a refusal
@@ -230,6 +231,7 @@
             except (ValueError, TypeError, KeyError):
                 torn += 1               # a record that was being written at the end, or a broken disk
         for owed in self.owed.values():
+            owed.found = True
             if owed.out:
                 owed.doubt.append(owed.out)     # it may have run, and its outcome will not come
                 owed.out = None
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -11,6 +11,7 @@
 import errno
 import fcntl
 import os
+import select
 import signal
 import socket
 import time
@@ -110,6 +111,10 @@
         door.listen(BACKLOG)            # asyncio has one figure for both
         return server
 
+    def knocked(self, server: asyncio.Server) -> bool:
+        """True if somebody waits to be let in."""
+        return bool(select.select(server.sockets, [], [], 0.0)[0])
+
     def on_signals(self, loop: asyncio.AbstractEventLoop, end: Callable[[], None],
                    reload: Callable[[], None]) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -16,7 +16,7 @@
 from birchstack.decide import NEVER_RAN, Sender
 from birchstack.net.by_hand import ByHand
 from birchstack.net.calls import Call, Calls
-from birchstack.net.config import Config, ConfigError, load
+from birchstack.net.config import Config, ConfigError, fits, load
 from birchstack.net.discovery import Watch
 from birchstack.net.front import ABANDONED, CLOSED, REJECTED, TAKEN, Front, Handed
 from birchstack.net.ledger import WAITING, Ledger
@@ -67,7 +67,7 @@
         self._refused: list[str] = []           # in this turn, for the witness
         self._failed: list[str] = []
         self._counted: Counter[tuple[str, int]] = Counter()    # by type: delivered, refused, failed
-        self._reloads = [0, 0]
+        self._reloads, self._untried = [0, 0], Counter()    # found at the start, given up uncalled: by reason
         self._destinations: dict[int, None] = {}    # those listed, the longest unheard of first
         self._turn_due, self._turned_at = False, 0.0
         self._alarm: asyncio.TimerHandle | None = None
@@ -94,6 +94,7 @@
             self._witness.begins(self._holds)
             self._witness.settings(self._config, "start")
         self._watch.start(self._config.known)
+        await self._watch.first()
         self._take_up()
         self._turn()
         await self._front.open(self._machine, self._config.listen)
@@ -123,7 +124,7 @@
                 self._notices.tell(owed.id, *owed.notice)
                 continue
             if owed.type not in self._front.types:
-                self._owe_notice(owed.id, "dead", 0.0)
+                self._owe_notice(owed.id, "dead", 0.0, "its type is in the settings no more")
                 continue
             doubt = tuple((now + when - wall, zone) for zone, when in owed.doubt)
             past = our.Past(owed.sent, owed.failed, doubt)
@@ -198,7 +199,7 @@
         if self._holds:
             self._happened(self._core.endpoints, mode, [self._by_hand.as_told(entry) for entry, _ in listed])
             return
-        if mode == our.WHOLE:                   # the decisions will hear of them when this process sends
+        if mode != our.CHANGES:                 # the decisions will hear of them when this process sends
             self._unheard.clear()
         self._unheard.append((mode, [entry for entry, _ in listed]))
 
@@ -365,7 +366,7 @@
     def _report(self) -> None:
         """A line now and then for who looks after it."""
         say(log, "state", owed=len(self._ledger.owed), out=len(self._calls), notices=len(self._notices),
-            clients=len(self._front), broken=dict(broken))
+            clients=len(self._front), broken=dict(broken), untried=dict(self._untried))
         self._loop.call_later(REPORT_S, self._report)
 
     # What the decisions ask for
@@ -387,9 +388,15 @@
         else:
             self._owe_notice(doc_id, "dead", 0.0)
 
-    def _owe_notice(self, doc_id: str, result: str, wait_ms: float) -> None:
+    def _owe_notice(self, doc_id: str, result: str, wait_ms: float, why: str = "") -> None:
         owed = self._ledger.owed.get(doc_id)
         if holds(owed and owed.notice is None, "a document has one end"):
+            if owed.found and not owed.sent:    # a restart found it, and nothing tried it
+                listed = any(entry.state == our.READY and entry.destination == owed.destination
+                             for entry in self._entries.values())
+                why = why or ("its time, or a told wait" if listed else "no endpoint is ready")
+                self._untried[why] += 1
+                say(log, "given up with no call", logging.WARNING, doc=doc_id, reason=why)
             self._count(owed.id, owed.type, result == "dead")
             self._ledger.notice(owed, result, wait_ms)
             self._notices.tell(doc_id, result, wait_ms)
@@ -460,7 +467,8 @@
         try:
             fresh = load(again=True)
             self._turn()                        # what came before is taken on under the old settings
-            self._fits(fresh)
+            held = {owed.type for owed in self._ledger.owed.values() if owed.notice is None}
+            fits(fresh, self._config, held, max((entry.kind for entry in self._entries.values()), default=0))
         except ConfigError as problem:
             say(log, "configuration not taken over", logging.ERROR, problem=problem)
             self._reloads[1] += 1
@@ -482,22 +490,6 @@
         say(log, "configuration taken over", discovery="{}:{}".format(*fresh.discovery),
             settings=",".join(changed) or "unchanged", needs_restart=",".join(waits) or "nothing")
 
-    def _fits(self, fresh: Config) -> None:
-        """Refuses what the documents and endpoints at hand do not allow."""
-        effects = {kind.name: kind.effect for kind in fresh.settings.types}
-        old = {kind.name: kind.effect for kind in self._config.settings.types}
-        for name in sorted({owed.type for owed in self._ledger.owed.values() if owed.notice is None}):
-            at = f"settings.services: documents of {name!r} are held, and it"
-            if name not in effects:
-                raise ConfigError(f"{at} is missing")
-            if effects[name] != old.get(name, effects[name]):
-                raise ConfigError(f"{at} changes its effect")
-        both = min(len(fresh.kinds), len(self._config.kinds))
-        listed = 1 + max((entry.kind for entry in self._entries.values()), default=0)
-        if fresh.kinds[:both] != self._config.kinds[:both] or listed > max(1, both):
-            raise ConfigError("settings.hostTypes: while it runs, kinds come and go only at the end, and "
-                              "none that is listed may go")
-
     def close(self) -> None:
         """SIGTERM: takes no more, answers what comes, finishes what it can, leaves the rest in the ledger."""
         if self._closing_at is not None:
@@ -518,11 +510,13 @@
         if self._handing:
             busy = len(self._calls) or len(self._front)
         else:
-            busy = self._ledger.owed if past < CALL_S else len(self._calls) or len(self._notices)
+            busy = self._front.busy() or (self._ledger.owed if past < CALL_S else
+                                          len(self._calls) or len(self._notices))
         if busy and past < END_S:
             self._loop.call_later(0.05, self._maybe_over)
             return
-        say(log, "closed", owed=len(self._ledger.owed), out=len(self._calls), broken=dict(broken))
+        say(log, "closed", owed=len(self._ledger.owed), out=len(self._calls), broken=dict(broken),
+            untried=dict(self._untried))
         self._watch.stop()
         self._calls.close()
         if self._door:
--- a/birchstack/state.py
+++ b/birchstack/state.py
@@ -110,12 +110,16 @@
         self.expiry = now + left_ms
         self.taken = self.expiry - kind.expiry_ms   # when the client first handed it in
         self.ready_at, self.out = now, None     # end of its pause; the call that it is out with
+        self.found = past is not our.NO_PAST    # taken on before a restart
         self.sent, self.repeats = past.sent, 0  # transmissions, and those that the bucket paid for
         self.doubt = [*past.doubt]      # transmissions that may have run: time and zone
         self.over, self.keyline, self.path = False, None, None
         self.back_ms = float("inf")     # when it may come again, where it is rejected for want of a place
         self.worth = 1.0                # of its type's value: less where its tenant sends beyond its share
 
+    def fresh(self) -> bool:    # taken on by this process, and surely not run
+        return not self.found and not self.doubt
+
     def lost(self) -> bool:     # it must not be transmitted again, nor handed in again
         return bool(self.doubt) and self.kind.effect == BINDING
 
@@ -149,6 +153,9 @@
         self.docs: deque[Document] = deque()
         self.rest_until, self.rested_by = 0.0, None
 
+    def rest(self, until: float, doc: Document) -> None:
+        self.rest_until, self.rested_by = until, doc
+
     def used(self, now: float) -> bool:
         while self.docs and self.docs[0].over and self.docs[0].out is None:
             self.docs.popleft()
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -192,7 +192,7 @@
         self.folder, self.answers, self.calls, self.notices, self.asked = folder, [], [], [], []
         self.status, self.watchers, self.lines, self.connections, self.process = 204, [], [], 0, None
         self.port, self._known, self._limits, self.out, self.most_out = free_port(), known, limits, 0, 0
-        self.ops, self._changes = free_port(), changes or {}
+        self.ops, self.changes = free_port(), changes or {}
         self.on_call = lambda: None
 
     async def __aenter__(self):
@@ -215,8 +215,9 @@
     def configured(self, **changes):
         """Writes the sender's configuration file, and tells its path."""
         known = {"rev": 7, "all": True, "targets": [self.entry()] if self._known else []}
-        told = config(self.folder, listen=f"127.0.0.1:{self.port}", known=known, ops=f"127.0.0.1:{self.ops}",
-                      limits=self._limits, **{"discovery": self.agent, **self._changes, **changes})
+        told = config(self.folder, **{
+            "listen": f"127.0.0.1:{self.port}", "known": known, "ops": f"127.0.0.1:{self.ops}",
+            "limits": self._limits, "discovery": self.agent, **self.changes, **changes})
         path = self.folder.parent / f"{self.folder.name}.json"
         path.write_text(json.dumps(told))
         return str(path)
@@ -334,7 +335,8 @@
             self.asked.append(message[0])
             self.watchers.append(writer)
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            for line in self.lines:
+            unchanged = {"rev": 7, "all": False, "targets": []}     # as an agent says where nothing changed
+            for line in self.lines or ([unchanged] if "after=7 " in message[0] else []):
                 self.say(line)
 
     def say(self, told):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,9 +3,19 @@
 A peer waits for a condition before it goes on; nothing here rests on how fast anything is."""
 
 import asyncio
+import json
+import signal
+import socket
+from pathlib import Path
 
 import pytest
-from fake import OK_200, Shut, World, answer
+from fake import OK_200, Shut, World, answer, post, read_message
+
+from birchstack import interface as our
+from birchstack.net import discovery
+from birchstack.net.discovery import Watch
+from birchstack.net.front import Front
+from birchstack.net.machine import Machine
 
 
 def play(folder, story, **words):
@@ -51,3 +61,171 @@
     """Waits until the sender knows so many endpoints."""
     while f"pool_size={count}\n" not in (await world.operator("GET", "/metrics"))[1]:
         await asyncio.sleep(0.01)
+
+
+# The watch of the list
+
+ENTRY = {"uid": "s-{", "endpoint": "127.0.0.1:9", "az": "a\\\"]", "model": "shop", "pod_group": 1,
+         "state": "active", "capacity_hint": 1.0, "boot_ms": 0}
+LIST = {"rev": 8, "all": True, "targets": [ENTRY]}
+INDENTED = json.dumps(LIST, indent=2).encode()
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def watched(story, said, monkeypatch=None, **figures):
+    """Plays a watch against a platform that says said(writer, times asked); story gets what it heard."""
+    for name, value in figures.items():
+        monkeypatch.setattr(discovery, name, value)
+
+    async def whole():
+        heard, asked = [], []
+
+        async def platform(reader, writer):
+            asked.append((await read_message(reader))[0])
+            try:
+                await said(writer, len(asked))
+                await reader.read()
+            except ConnectionError:
+                pass
+            writer.close()
+        server = await asyncio.start_server(platform, "127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        watch = Watch(loop, server.sockets[0].getsockname(), ("shop",), lambda *words: heard.append(words))
+        watch.start({})
+        async with asyncio.timeout(8.0):
+            await story(watch, heard, asked)
+        watch.stop()
+        server.close()
+    asyncio.run(whole())
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.002)
+
+
+@pytest.mark.parametrize("text", [
+    INDENTED + b"\n", INDENTED.replace(b"\n", b"\r\n") + b"\n",
+    INDENTED.replace(b",\n", b",\n\n  \n") + b"\n", json.dumps(LIST).encode() + b"\n",
+    b"\n\n" + INDENTED + b"\n\n" + json.dumps(LIST).encode() + b"\n"])
+@pytest.mark.parametrize("size", [1, 7, 4096])
+def test_a_list_is_read_however_it_is_indented_and_cut(text, size):
+    async def said(writer, times):
+        writer.write(HEAD)
+        for at in range(0, len(text), size):
+            writer.write(chunk(text[at:at + size]))
+            await writer.drain()
+
+    async def story(watch, heard, asked):
+        await until(lambda: len(heard) == text.count(b"rev"))
+        assert {(mode, listed[0][0].name) for mode, listed in heard} == {(our.WHOLE, "s-{")}
+        assert len(asked) == 1
+    watched(story, said)
+
+
+async def no_head(writer):
+    writer.write(b"HTTP/1.1 200 OK\r\n")
+
+
+async def no_whole_line(writer):
+    writer.write(HEAD)
+    while True:                                 # bytes keep coming, an object never
+        writer.write(chunk(b'{"rev": 8, "all": true, "targets": [' if writer.transport else b""))
+        await writer.drain()
+        await asyncio.sleep(0.01)
+
+
+async def no_end(writer):
+    writer.write(HEAD + chunk(b"{\n"))
+    while True:
+        writer.write(chunk(b'"rev": 8,\n\n'))
+        await writer.drain()
+        await asyncio.sleep(0.01)
+
+
+async def nothing(writer):
+    writer.write(HEAD + chunk(b"\n"))
+
+
+@pytest.mark.parametrize("broken", [no_head, no_whole_line, no_end, nothing])
+def test_a_watch_that_says_no_whole_thing_is_silent_and_opened_anew(broken, monkeypatch):
+    async def said(writer, times):
+        if times == 1:
+            await broken(writer)
+        writer.write(HEAD + chunk(json.dumps(LIST).encode() + b"\n"))
+
+    async def story(watch, heard, asked):
+        await until(lambda: heard)
+        assert len(asked) == 2
+    watched(story, said, monkeypatch, BEAT_S=0.1, ANSWER_S=0.2)
+
+
+def test_what_came_whole_before_a_watch_ended_counts():
+    async def said(writer, times):
+        writer.write(HEAD + chunk(json.dumps(LIST).encode() + b"\n") + b"0\r\n\r\n")
+
+    async def story(watch, heard, asked):
+        await until(lambda: heard and len(asked) == 2)
+        assert asked[1].split()[1].endswith("after=8")
+    watched(story, said)
+
+
+# The end of a process
+
+def listens(port):
+    lines = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    return any(words[1].endswith(f":{port:04X}") and words[3] == "0A" for words in lines)
+
+
+def test_a_client_that_was_let_in_last_is_answered_after_the_door_is_shut(tmp_path):
+    async def story(world):
+        reader, writer = await world.client()
+        world.process.send_signal(signal.SIGTERM)
+        assert await world.until(lambda: not listens(world.port))
+        writer.write(post("d1"))
+        assert (await read_message(reader))[0].startswith("HTTP/1.1 503")
+        assert await world.process.wait() == 0
+    play(tmp_path, story)
+
+
+@pytest.fixture
+def front():
+    """A front on a real loop, and its clients: blocking sockets, so that the loop runs only when told to."""
+    async def make():
+        front = Front(asyncio.get_running_loop(), {"sync": 20000.0}, 40, lambda destination: True,
+                      lambda handed: handed.reply("taken"))
+        await front.open(Machine(), ("127.0.0.1", 0))
+        return front
+    with asyncio.Runner() as runner:
+        front = runner.run(make())
+        async def turn(what=lambda: None):
+            what()
+            await asyncio.sleep(0.02)
+        front.turn = lambda *what: runner.run(turn(*what))
+        front.client = lambda: socket.create_connection(front._server.sockets[0].getsockname(), timeout=2.0)
+        yield front
+
+
+def test_who_waits_at_the_door_as_it_shuts_is_let_in(front):
+    clients = [front.client() for _ in range(40)]
+    for client in clients:
+        client.sendall(post("d1"))
+    front.turn(lambda: (front.close(), front.shut()))       # before the loop has let them in
+    for _ in range(5):
+        front.turn()
+    assert all(client.recv(99).startswith(b"HTTP/1.1 202") for client in clients)
+    assert not front._server.is_serving()
+
+
+def test_a_request_that_crosses_the_close_of_an_idle_connection_meets_its_end_not_a_reset(front):
+    client = front.client()
+    front.turn()
+    idle, = front._clients
+    front.turn(idle.overdue)
+    client.sendall(post("d1"))
+    front.turn()
+    assert client.recv(99) == b""               # and not ConnectionResetError: it may come again
