A notice whose connection fell silent is told in time; an answer in the kernel is read before a time-out

Now it is told again at once on a new connection after 0.1 s, twice as long after each silence in a row. Beside it, two crossings by the same reading: an answer beyond the one asked for acknowledged the next notices, which were forgotten unheard; a time-out whose answer had come in the same pass ended the call as in doubt (a binding document is lost to that), now what has come is read first, once. Tests: real sockets, all three fail without the change.

--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -69,12 +69,13 @@
         self._call: Call | None = None
         self._answer: http1.Response | None = None
         self._reader = http1.Responses()
+        self._late = False              # its time is over, and what has come is read
         self._sent = self._begun = False        # all was handed to the network; a first line has come
         self._timer: asyncio.TimerHandle | None = None  # of the dial, the answer or the rest: one at a time
 
     def begin(self, call: Call) -> None:
         self._call, self._answer, self._reader, self._begun = call, None, http1.Responses(), False
-        self._sent = False
+        self._sent = self._late = False
         self._rest()
         if self._link is None:
             self._timer = self._calls.later(min(self._calls.dial_ms, call.patience_ms), self._not_connected)
@@ -166,6 +167,10 @@
         self._ends(keep=False, stays=True)
 
     def _timed_out(self) -> None:
+        if self._link.unread() and not self._late:      # an answer that came in this pass: read first, once
+            self._late = True
+            self._timer = self._calls.later(0.0, self._timed_out)
+            return
         self._ends(keep=False, patience_over=True)
 
     def _expired(self) -> None:
--- a/birchstack/net/notices.py
+++ b/birchstack/net/notices.py
@@ -16,7 +16,8 @@
 from birchstack.net.log import say
 
 PATH = "/v1/notices"
-ANSWER_S, AGAIN_S = 1.0, 0.1            # an answer comes at once; a failed one is sent again after this
+ANSWER_S, LONGEST_S = 0.1, 2.0          # an answer comes at once: waited for so long, twice as long each time
+AGAIN_S = 0.1                           # that none comes in a row; a failed one is sent again after this
 MOST = 64                               # in one request
 log = logging.getLogger(__name__)
 
@@ -38,7 +39,8 @@
         self._link: Link | None = None
         self._dial: Dial | None = None
         self._reader = http1.Responses()
-        self._most = MOST
+        self._most, self._answer_s = MOST, ANSWER_S
+        self._answer: http1.Response | None = None
         self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
@@ -60,11 +62,11 @@
         if not self._waiting:
             return
         self._under_way = list(self._waiting)[:self._most]
-        self._timer = self._loop.call_later(ANSWER_S, self._failed)
+        self._timer = self._loop.call_later(self._answer_s, self._silent)
         if self._link and not self._link.closed:
             self._write()
         else:
-            self._reader = http1.Responses()
+            self._reader, self._answer = http1.Responses(), None
             self._dial = Dial(self._loop, self._where, self, self._failed)
 
     def _write(self) -> None:
@@ -79,10 +81,14 @@
     def received(self, data: memoryview) -> None:
         try:
             for event in self._reader.feed(data):
-                if isinstance(event, http1.Response) and self._under_way:
-                    if not event.keep:
+                if isinstance(event, http1.Response):
+                    self._answer = event
+                elif event is http1.END:        # what comes behind it answers nothing that is under way later
+                    if not (self._answer.keep and self._reader.between and self._under_way):
                         self._hang_up()
-                    self._answered(event.status)
+                    if self._under_way:
+                        self._answered(self._answer.status)
+                    return
         except http1.Malformed:
             self._failed()
 
@@ -97,6 +103,7 @@
             self._timer.cancel()
             self._timer = None
         if status == 204:
+            self._answer_s = max(ANSWER_S, self._answer_s / 2.0)
             for each in told:
                 self._waiting.pop(each, None)
             self._most = MOST
@@ -116,6 +123,15 @@
             self._link.abort()
         self._dial = self._link = None
 
+    def _silent(self) -> None:
+        """No answer: the connection may have died without a word, and a document's time is nearly up. Asked
+        again at once on a new one. May hurt where the platform is slow: it hears some twice, which does no
+        harm, and is given more time."""
+        self._answer_s = min(LONGEST_S, self._answer_s * 2.0)
+        self._under_way = []
+        self._hang_up()
+        self._send()
+
     def _failed(self) -> None:
         self._under_way = []
         self._hang_up()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,9 +13,11 @@
 
 from birchstack import interface as our
 from birchstack.net import discovery
+from birchstack.net.calls import Call, Calls
 from birchstack.net.discovery import Watch
 from birchstack.net.front import Front
 from birchstack.net.machine import Machine
+from birchstack.net.notices import Notices
 
 
 def play(folder, story, **words):
@@ -229,3 +231,71 @@
     client.sendall(post("d1"))
     front.turn()
     assert client.recv(99) == b""               # and not ConnectionResetError: it may come again
+
+
+# An answer and a time-out, a notice and its answer
+
+def test_an_answer_that_has_come_when_its_time_is_over_is_read_first():
+    async def whole():
+        loop, ends, connected = asyncio.get_running_loop(), [], asyncio.Event()
+        calls = Calls(loop, lambda: loop.time() * 1000.0, 10000.0, 1000.0, 8, lambda call: connected.set(),
+                      lambda call: None, lambda call, outcome: ends.append(outcome.kind))
+        with socket.create_server(("127.0.0.1", 0)) as door:
+            calls.move("s-1", door.getsockname())
+            call = Call("d1", 0, "s-1", b"x", 5000.0)
+            assert not calls.begin(call)
+            await connected.wait()
+            calls.go(call, True)
+            endpoint, _ = door.accept()
+            endpoint.recv(999)
+            endpoint.sendall(answer(503))
+            line = calls._busy["d1"]
+            while not line._link.unread():      # it is here, and the loop has not run since
+                pass
+            line._timed_out()
+            await until(lambda: ends)
+            endpoint.close()
+        assert ends == [our.FULL]               # it never ran; and not a time-out that leaves that open
+        calls.close()
+    asyncio.run(whole())
+
+
+def noticed(story, said):
+    """said(writer, times): what the platform does after the POST of that number."""
+    async def whole():
+        posts, known, loop = [], [], asyncio.get_running_loop()
+
+        async def platform(reader, writer):
+            while (message := await read_message(reader)) is not None:
+                posts.append((loop.time(), message[2].decode()))
+                said(writer, len(posts))
+            writer.close()
+        server = await asyncio.start_server(platform, "127.0.0.1", 0)
+        notices = Notices(loop, server.sockets[0].getsockname(), known.extend)
+        async with asyncio.timeout(8.0):
+            await story(notices, posts, known)
+        notices._hang_up()
+        server.close()
+    asyncio.run(whole())
+
+
+def test_a_notice_whose_connection_fell_silent_is_told_again_in_its_time():
+    async def story(notices, posts, known):
+        notices.tell("d0", "dead", 0.0)
+        await until(lambda: known == ["d0"])
+        notices.tell("d1", "dead", 0.0)         # on the connection that says nothing any more
+        await until(lambda: known == ["d0", "d1"])
+        assert len(posts) == 3 and posts[2][0] - posts[1][0] < 0.25     # of the 300 ms that it has
+        assert notices._answer_s < 0.2          # and a platform that answers again is waited for as before
+    noticed(story, lambda writer, times: times == 2 or writer.write(b"HTTP/1.1 204 No\r\n\r\n"))
+
+
+def test_an_answer_that_nobody_asked_for_acknowledges_no_later_notice():
+    async def story(notices, posts, known):
+        notices.tell("d0", "dead", 0.0)
+        notices.tell("d1", "dead", 0.0)         # waits for the answer to the first
+        await until(lambda: len(posts) == 2)
+        assert known == ["d0"]
+        await until(lambda: known == ["d0", "d1"])
+    answers = {1: b"HTTP/1.1 204 No\r\n\r\n" * 2, 2: b""}
+    noticed(story, lambda writer, times: writer.write(answers.get(times, b"HTTP/1.1 204 No\r\n\r\n")))
