--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -133,6 +133,22 @@
     play(tmp_path, story, known=False)
 
 
+def test_sigterm_before_the_first_list_ends_cleanly_and_loses_nothing(tmp_path):
+    async def story(world):
+        names = await held_untried(world)
+        await world.kill(signal.SIGKILL)
+        asked = len(world.asked)
+        task = asyncio.ensure_future(world.start())
+        while len(world.asked) == asked:        # it waits for what discovery says
+            await asyncio.sleep(0.001)
+        assert await world.kill(signal.SIGTERM) == 0
+        task.cancel()
+        world.lines = [{**ALL, "targets": [world.entry()]}]
+        await world.start()
+        await all_tried(world, names)
+    play(tmp_path, story, known=False)
+
+
 def test_a_binding_document_whose_connection_was_still_coming_up_is_untried(tmp_path):
     async def story(world):
         shut = Shut()
