Room for one document is room for one; ten settings that are legal and unlike any start and serve

Seen: with limits.maxOpen 1 each document was refused as it came (room was made when all was taken). Now two are the least at which room is made. The story plays ten settings on a real sender: one slot, room for one, one transmission, 900 senders, no advice, idle connections gone at once, expiries under a second and under a millisecond, all types binding, none binding, value 0; it failed for maxOpen 1 before. A dial time of 1 ms is no part of it: the machine's own dial took longer under load.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -500,7 +500,7 @@
                 self._resume(now, doc, None)
 
     def _make_room(self, now: float) -> None:
-        while len(self._held) >= self._set.max_held:    # what a restart found is tried, in less room too
+        while len(self._held) >= max(2, self._set.max_held):    # what a restart found is tried, in less too
             lines = [(each.troubled(now), len(each.line), -number) for number, each in
                      self._destinations.items() if any(map(Document.fresh, each.line))]
             if not lines:
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -113,6 +113,32 @@
     play(tmp_path, story, known=False)
 
 
+def services(*types):
+    return {"settings__services": [
+        {"name": name, "effect": effect, "objectiveMs": expiry, "deadlineMs": expiry, "importance": value}
+        for name, effect, expiry, value in types]}
+
+
+@pytest.mark.parametrize("settings", [
+    {"settings__domain__callsOut": 1}, {"settings__limits__maxOpen": 1}, {"settings__limits__sendCap": 1},
+    {"settings__nInstances": 900}, {"settings__limits__retryAfter": False},
+    {"settings__limits__connIdleMs": 1},
+    services(("sync", "safe", 900.0, 1.0)), services(("sync", "unsafe", 900.0, 0.01)),
+    services(("sync", "keyed", 900.0, 3.0)), services(("sync", "safe", 900.0, 0), ("pay", "keyed", 0.5, 0))])
+def test_settings_that_are_legal_and_unlike_any_start_and_serve(tmp_path, settings):
+    async def story(world):
+        for number in range(5):
+            assert (await world.hand_in(f"d{number}", left=900))[0] == 202
+            assert await world.until(lambda number=number: len(world.calls) == number + 1)
+        assert await world.until(lambda: world.on_disk().count('["done"') == 5) and not world.notices
+    (tmp_path / "state").mkdir()
+
+    async def whole():
+        async with World(tmp_path / "state", changes=settings) as world:
+            await asyncio.wait_for(story(world), 20.0)
+    asyncio.run(whole())
+
+
 def test_a_torn_last_line_and_a_second_kill_during_the_start_lose_nothing_else(tmp_path):
     async def story(world):
         names = await held_untried(world)
