--- a/birchstack/net/by_hand.py
+++ b/birchstack/net/by_hand.py
@@ -47,8 +47,12 @@
             return dataclasses.replace(entry, state=our.DRAINING)
         return entry
 
-    def set(self, endpoint: str, out: bool) -> Answer:
+    def set(self, endpoint: str, out: bool, listed: bool) -> Answer:
         """Takes an endpoint out, or lets it serve again: on disk before the yes, for the next process too."""
+        if not listed and endpoint not in self.out:
+            return Answer(False, f"id: {endpoint!r} is not listed", 404)
+        if out == (endpoint in self.out):
+            return Answer(True, f"{endpoint} {'out' if out else 'in'} already")
         if out and len(self.out) >= MOST:
             return Answer(False, f"{MOST} endpoints are out by hand already", 409)
         wanted = {**self.out, endpoint: None} if out else {
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -445,11 +445,8 @@
                        self._witness.figures() if self._witness else [])
 
     def _by_hand_now(self, endpoint: str, out: bool) -> Answer:
-        if endpoint not in self._entries and endpoint not in self._by_hand.out:
-            return Answer(False, f"id: {endpoint!r} is not listed", 404)
-        if out == (endpoint in self._by_hand.out):
-            return Answer(True, f"{endpoint} {'out' if out else 'in'} already")
-        answer, entry = self._by_hand.set(endpoint, out), self._entries.get(endpoint)
+        entry = self._entries.get(endpoint)
+        answer = self._by_hand.set(endpoint, out, entry is not None)
         if answer.yes and entry and self._holds:
             self._happened(self._core.endpoints, our.CHANGES, [self._by_hand.as_told(entry)])
         return answer
