A delivery that crosses the end of its time is ended by a notice too; unanswered notices are logged

Also ruled out by reading: done is noted only by a 200's first line, a 410 or an acknowledged notice. What is left fits a call that hangs until its time is up: a 200 that comes in the last moments was taken for a delivery here while the other side, whose clock and sockets are not this one's, may count it as too late, and then nothing ended the document. Now a 200 within 0.1 s of that moment is counted as delivered and told by a notice besides, which the protocol says does no harm. Not proven: the loss came once and not again.

--- a/birchstack/net/notices.py
+++ b/birchstack/net/notices.py
@@ -127,6 +127,7 @@
         """No answer: the connection may have died without a word, and a document's time is nearly up. Asked
         again at once on a new one. May hurt where the platform is slow: it hears some twice, which does no
         harm, and is given more time."""
+        say(log, "notice unanswered", logging.WARNING, count=len(self._under_way), waited=self._answer_s)
         self._answer_s = min(LONGEST_S, self._answer_s * 2.0)
         self._under_way = []
         self._hang_up()
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -29,6 +29,7 @@
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5     # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
+NEAR_MS = 100.0                 # an answer so shortly before it may count as too late: clocks and sockets lag
 REPORT_S = 60.0
 CLIENTS_SHARE, OTHERS = 40, 64  # of the descriptors, in hundredths; and what is no client and no call
 RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds", "version")  # at SIGHUP
@@ -212,16 +213,22 @@
         owed = self._ledger.owed.get(call.doc)
         if owed and holds(owed.notice is None, "a document has one end"):
             self._counted[owed.type, 0] += 1
-            self._ledger.done(owed)
+            if self.clock() < owed.due - NEAR_MS:
+                self._ledger.done(owed)
+            else:                               # where it counts, its time may be up: it ends by a notice
+                self._ledger.notice(owed, "dead", 0.0)      # too, which does no harm if it is over
+                self._notices.tell(owed.id, "dead", 0.0)
 
     def _ended(self, call: Call, outcome: our.Outcome) -> None:
         if outcome.wait_ms > 0.0:
             self._ledger.told(call.endpoint, self._lasting.ms() + outcome.wait_ms)
         owed = self._ledger.owed.get(call.doc)
         if owed:
-            if outcome.over:
+            if owed.notice is not None:
+                pass                            # until the platform knows
+            elif outcome.over:
                 self._ledger.done(owed)
-            elif owed.notice is None:
+            else:
                 failed = outcome.kind not in (our.FULL, our.UNSENT)
                 self._ledger.back(owed, outcome.kind not in NEVER_RAN, failed)
         self._happened(self._core.outcome, call.doc, call.endpoint, outcome)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,8 +12,9 @@
 from fake import OK_200, Shut, World, answer, post, read_message
 
 from birchstack import interface as our
-from birchstack.net import discovery
+from birchstack.net import discovery, sender
 from birchstack.net.calls import Call, Calls
+from birchstack.net.config import decode
 from birchstack.net.discovery import Watch
 from birchstack.net.front import Front
 from birchstack.net.machine import Machine
@@ -299,3 +300,35 @@
         await until(lambda: known == ["d0", "d1"])
     answers = {1: b"HTTP/1.1 204 No\r\n\r\n" * 2, 2: b""}
     noticed(story, lambda writer, times: writer.write(answers.get(times, b"HTTP/1.1 204 No\r\n\r\n")))
+
+
+# A delivery and the end of a document's time
+
+class Within(World):
+    """The sender runs in this process, so that a story can move its figures."""
+
+    async def start(self):
+        raw = json.loads(Path(self.configured()).read_text())
+        self.node = sender.Node(decode(raw, {}), asyncio.get_running_loop())
+        await self.node.start()
+
+    async def __aexit__(self, *problem):
+        self.node._watch.stop()
+        self.node._calls.close()
+        self.node._front._server.close()
+        self.node._door.close()
+        for each in self._servers:
+            each.close()
+
+
+@pytest.mark.parametrize("near_ms, notices", [(60000.0, [{"ref": "d1", "result": "dead"}]), (100.0, [])])
+def test_a_delivery_that_crosses_the_end_of_its_time_is_ended_by_a_notice_too(
+        tmp_path, monkeypatch, near_ms, notices):
+    async def whole():
+        (tmp_path / "state").mkdir()
+        async with Within(tmp_path / "state") as world:
+            assert (await world.hand_in("d1"))[0] == 202
+            assert await world.until(lambda: '["done","d1"' in world.on_disk())
+            assert world.notices == notices and len(world.calls) == 1 and not world.node._ledger.owed
+    monkeypatch.setattr(sender, "NEAR_MS", near_ms)
+    asyncio.run(whole())
