--- a/tests/fake.py
+++ b/tests/fake.py
@@ -345,3 +345,11 @@
         for part in (line[:9], line[9:]):
             if part:
                 self.watchers[-1].write(b"%x\r\n%s\r\n" % (len(part), part))
+
+
+def play(folder, story, **words):
+    async def whole():
+        (folder / "state").mkdir()
+        async with World(folder / "state", **words) as world:
+            await asyncio.wait_for(story(world), 20.0)
+    asyncio.run(whole())
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import pytest
-from fake import OK_200, Shut, World, answer, post, read_message
+from fake import OK_200, Shut, World, answer, play, post, read_message
 
 from birchstack import interface as our
 from birchstack.net import discovery, sender
@@ -20,15 +20,6 @@
 from birchstack.net.machine import Machine
 from birchstack.net.notices import Notices
 
-
-def play(folder, story, **words):
-    async def whole():
-        (folder / "state").mkdir()
-        async with World(folder / "state", **words) as world:
-            await asyncio.wait_for(story(world), 20.0)
-    asyncio.run(whole())
-
-
 # A connection that comes up late: what was decided before may not be written after
 
 @pytest.mark.parametrize("meanwhile", ["wait", "leaving", "left", "moved"])
