Room in the module and the sender: the list, the lines of keys and a reload have files of their own

Change: what discovery lists stands in net/listed.py; what SIGHUP takes over is worked out in net/config.py; lines of keys are kept and bounded in state.py (pruned when twice as many as were in use, in place of a walk for each new key); tenants' traffic is one map; overdue is a function; comments of one line stand beside their def. A document taken up at a start is handed to the decisions by one method.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -16,7 +16,7 @@
 
 from birchstack import interface as our
 from birchstack.interface import BINDING, CANCELLED, CONNECT_FAILED, FULL, NUMBERED, OK, READY, UNSENT
-from birchstack.state import MARK, Average, Call, Classes, Document, Fading, Keyline, Meter, Place, Ring, mark
+from birchstack.state import MARK, Average, Call, Classes, Document, Fading, Keys, Meter, Place, Ring, mark
 
 TOKENS, TOKEN_PER_TRANSMISSION = 10.0, 0.1     # the bucket that pays for repeats
 REPEAT_SHARE, SPARE_REPEATS = 0.25, 0.25       # most repeats for each first try, and a second besides
@@ -53,13 +53,9 @@
 WARM_LEAST_MS, SURE = 4000.0, 1.5              # what waits goes over so long at least; warmth, where told of
 
 
-class Endpoint(Place):
-    """One endpoint: its calls out and its health."""
-
-    def overdue(self, now: float) -> bool:
-        """True if nothing is served and an answer is late; time-outs tell it too late."""
-        since = max(self.ok_at, self.calls[0]) if self.calls else now
-        return now - since > max(OVERDUE_MS, OVERDUE * (self.usual_ms or self.norm.value))
+def overdue(ep: Place, now: float) -> bool:     # nothing is served, and an answer is late; time-outs lag
+    since = max(ep.ok_at, ep.calls[0]) if ep.calls else now
+    return now - since > max(OVERDUE_MS, OVERDUE * (ep.usual_ms or ep.norm.value))
 
 
 class Route:
@@ -70,7 +66,7 @@
 
     def __init__(self, destination: Destination, per_call: int, limit: float, now: float) -> None:
         self.destination = destination
-        self.endpoints: list[Endpoint] = []
+        self.endpoints: list[Place] = []
         self.ill_at, self.away_ms = now, 0.0        # since when it is ill, and how long it was the last time
         self.hold_until = 0.0           # others were refused, and told to wait so long
         self.per_call, self.wait_until, self.refused = per_call, 0.0, 0     # refusals in a row
@@ -78,8 +74,7 @@
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
         self.room, self.room_at, self.meter, self.served = 1.0, now, Meter(now), Ring(now, BUCKET_MS, BUCKETS)
 
-    def wait_ms(self, now: float, least: float) -> float:
-        """How long until a told wait is over and the pace allows the next call."""
+    def wait_ms(self, now: float, least: float) -> float:   # of a told wait, and until the pace allows a call
         until = max(self.wait_until, self.hold_until)
         if now < until or not self.limit:
             return max(0.0, until - now)
@@ -89,7 +84,7 @@
         return self.meter.wait_ms(now, pace, max(1.0, pace * BURST))
 
     def troubled(self, now: float) -> bool:
-        return any(ep.state == READY and (ep.ill or ep.recent_ms > SLOW * ep.usual_ms or ep.overdue(now))
+        return any(ep.state == READY and (ep.ill or ep.recent_ms > SLOW * ep.usual_ms or overdue(ep, now))
                    for ep in self.endpoints)        # ill, slow or late
 
     def grow(self, now: float, own: float, top: float) -> None:
@@ -142,7 +137,7 @@
         self._begin = int(self._draw(0.0, 64.0))    # many senders begin at different endpoints
         self._endpoints, self._marks = {}, {}       # by name, and by what notes call them
         self._norm, self._notes = Average(NORM_PART), Meter(0.0)    # of answer times; of notes told
-        self._held, self._flying, self._keys = {}, {}, {}   # and ended while a transmission is out; by key
+        self._held, self._flying, self._keys = {}, {}, Keys()    # and ended while a transmission is out
         self._ends: list[tuple[float, int, Document]] = []
         self._order, self._out, self._alarm, self._stirred = 0, 0, float("inf"), True
         self._idle = Classes(IDLE_MS, STALE_PART, STALE_SHARE, STALE_FOR_MS)    # resets, by idle time before
@@ -154,15 +149,14 @@
         self._busy = self._level = self._turned = 0.0   # shares of slots taken
         self._ask_ms = ASK_MS           # not all at one time: the list can answer only so many
         self._ask_at = self._draw(0.0, ASK_MS) if settings.list_on_request else float("inf")
-        self._tenants: dict[str, tuple[float, Ring]] = {}   # quota and documents taken, by tenant
-        self._quotas(settings)
+        self._quotas, self._traffic = dict(settings.tenants), {}    # and documents taken, by tenant
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
         """The list, or changes to it; one that is ready again after a drain, or out by hand, is cold."""
         self._stirred, self._sure = True, self._sure or mode in (our.CHANGES, our.WHOLE)
         if mode == our.FAILED:
-            longest = min(LONGEST_ASK_MS, 2.0 * (self._set.list_every_ms or LONGEST_ASK_MS))  # or deemed told
-            self._ask_ms = min(longest, self._ask_ms * 2.0)
+            deemed_told = 2.0 * (self._set.list_every_ms or LONGEST_ASK_MS)
+            self._ask_ms = min(LONGEST_ASK_MS, deemed_told, self._ask_ms * 2.0)
             self._ask_at = now + self._draw(0.5, 1.0) * self._ask_ms
             return
         if mode != our.CHANGES:                     # what a whole list leaves out is gone
@@ -196,16 +190,13 @@
         if past.failed:
             self._failed[destination] = dest
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
-        if tenant in self._tenants:     # beyond its share by its own documents times the senders: worth less
-            quota, taken = self._tenants[tenant]
+        if tenant in self._quotas:      # beyond its share by its own documents times the senders: worth less
+            taken = self._traffic.setdefault(tenant, Ring(-BUCKETS * BUCKET_MS, BUCKET_MS, BUCKETS))
             taken.add(now)
-            beyond = max(0.0, 1.0 - quota / (taken.rate(now) * self._set.senders))
+            beyond = max(0.0, 1.0 - self._quotas[tenant] / (taken.rate(now) * self._set.senders))
             doc.worth = 1.0 - beyond * (1.0 - self._set.over_share)
         if key is not None and doc.kind.in_order:
-            if len(self._keys) > len(self._held) + FORGET:
-                self._keys = {each: line for each, line in self._keys.items() if line.used(now)}
-            doc.keyline = self._keys.setdefault(key, Keyline())
-            doc.keyline.docs.append(doc)
+            doc.keyline = self._keys.join(now, key, doc)
             if doc.doubt:               # what was out when its sender ended may still run
                 doc.keyline.rest(now + self._set.key_rest_ms, doc)
         self._held[doc_id], doc.path = doc, self._deliver(doc)
@@ -308,8 +299,7 @@
             doc.repeats += 1
         yield self._finish(doc)
 
-    def _resume(self, now: float, doc: Document, word: object) -> None:
-        """Lets a document go on until it waits again."""
+    def _resume(self, now: float, doc: Document, word: object) -> None:     # goes on until it waits again
         wish = doc.path.send(word)
         if isinstance(wish, float):
             doc.ready_at = now + wish
@@ -320,8 +310,7 @@
 
     # The two doors: everything sent and everything answered passes here, with the rules on guard
 
-    def _barred(self, now: float, doc: Document, ep: Endpoint) -> bool:
-        """True if a rule forbids this transmission."""
+    def _barred(self, now: float, doc: Document, ep: Place) -> bool:    # a rule forbids this transmission
         if doc.over or now >= doc.expiry or ep.state != READY or now < ep.route.wait_until \
                 or doc.lost() or doc.keyline and not doc.keyline.allows(doc, now):
             return True
@@ -330,7 +319,7 @@
             return now >= since + doc.kind.window_ms or (doc.kind.one_zone and ep.zone != zone)
         return False
 
-    def _transmit(self, now: float, doc: Document, ep: Endpoint) -> None:
+    def _transmit(self, now: float, doc: Document, ep: Place) -> None:
         dest, dest.turn = doc.destination, ep.number + 1
         (self._repeats if doc.repeats else self._firsts).add(now)
         dest.tokens = min(TOKENS, dest.tokens - (doc.repeats > 0) + TOKEN_PER_TRANSMISSION)
@@ -341,7 +330,7 @@
         doc.out, doc.sent = ep.call, doc.sent + 1
         self._host.transmit(doc.id, ep.name, min(self._patience(ep, doc), doc.expiry - now))
 
-    def _dial(self, now: float, dest: Destination, ep: Endpoint) -> Call:
+    def _dial(self, now: float, dest: Destination, ep: Place) -> Call:
         idle_ms = 0.0
         if len(ep.calls) % self._set.calls_per_connection == 0:
             if ep.idle and self._idle.marked(now, now - ep.idle[0]):
@@ -356,7 +345,6 @@
         return Call(ep, now, idle_ms)
 
     def _hang_up(self, now: float, dest: Destination, call: Call, kind: str, kept: bool) -> None:
-        """Gives slot, place and connection back."""
         self._out, dest.out = self._out - 1, dest.out - 1
         call.ep.calls.remove(call.sent_at)
         call.ep.trials -= call.trial
@@ -389,14 +377,12 @@
 
     # Filling free places
 
-    def _fill(self, now: float) -> None:
-        """Work waits in line; while slots are free the best document that has a place goes."""
+    def _fill(self, now: float) -> None:        # while slots are free the best document that has a place goes
         if self._out >= self._set.slots:            # an outcome brings the next turn
             return
         best: dict[int, tuple] = {}
-        most = self._firsts.rate(now) * REPEAT_SHARE + SPARE_REPEATS
-        self._repeats_held = self._repeats.rate(now) > most     # the design's bound, for many full buckets
-        if self._repeats_held:
+        self._repeats_held = self._repeats.rate(now) > self._firsts.rate(now) * REPEAT_SHARE + SPARE_REPEATS
+        if self._repeats_held:                      # the design's bound, for many full buckets
             self._wake(now, now + BUCKET_MS)
         for dest in self._destinations.values():
             if dest.line:
@@ -427,7 +413,7 @@
             if found and rank <= found[0] or doc.repeats and (dest.tokens < 1.0 or self._repeats_held):
                 continue
             for ep in places:
-                doubtful = ep.doubtful > DOUBT_SHARE or ep.overdue(now) or ep.word.at(now) > WORD_LIMIT
+                doubtful = ep.doubtful > DOUBT_SHARE or overdue(ep, now) or ep.word.at(now) > WORD_LIMIT
                 if doubtful and doc.kind.effect == BINDING:
                     self._wake(now, now + WORD_MS)      # what was told fades, and no event says so
                 elif not self._barred(now, doc, ep):
@@ -436,7 +422,7 @@
         if found:
             best[dest.number] = found
 
-    def _places(self, now: float, dest: Destination) -> list[Endpoint]:
+    def _places(self, now: float, dest: Destination) -> list[Place]:
         joinable = [ep for route in dest.routes for ep in route.endpoints if ep.joinable()]
         if joinable and not joinable[0].ill:
             return joinable
@@ -463,13 +449,12 @@
         places.sort(key=lambda ep: (len(ep.calls), not ep.idle, (ep.number - dest.turn) % count))
         return trials + places
 
-    def _spares(self, now: float, dest: Destination) -> bool:
-        """Several sick destinations must not fill the slots together."""
+    def _spares(self, now: float, dest: Destination) -> bool:   # the sick must not fill the slots together
         sick = sum(len(ep.calls) for each in self._destinations.values() if each.out
                    for route in each.routes if route.troubled(now) for ep in route.endpoints)
         return dest.out < min(dest.window, dest.half) and sick < max(1, int(dest.half * SICK_PART))
 
-    def _ramped(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> bool:
+    def _ramped(self, now: float, dest: Destination, route: Route, ep: Place) -> bool:
         """One that came back is cold: the usual, or its part of the limit, times its share of warmth."""
         warm = 1.0 if ep.back_at is None else (now - ep.back_at) / self._set.warm_up_ms
         if warm >= 1.0:
@@ -490,15 +475,18 @@
         its expiry, the client could not ask again. Meets whole destinations drained, gone, out by hand or
         no longer listed, and told waits past the time left; one never listed, or only before the start, waits
         for a list that is late. May hurt where endpoints are listed again soon."""
-        never = float("inf") if self._sure else now
         for dest in [dest for dest in self._destinations.values() if dest.line and dest.routes]:
-            routes = [route for route in dest.routes if any(ep.state == READY for ep in route.endpoints)]
-            opens = min((max(route.wait_until, route.hold_until) for route in routes), default=never)
+            opens = self._opens(now, dest)
             for doc in [doc for doc in dest.line if opens > self._last_call(doc)]:
                 dest.line.remove(doc)
                 doc.back_ms = opens - now
                 self._resume(now, doc, None)
 
+    def _opens(self, now: float, dest: Destination) -> float:       # to calls; inf: no place is ready there
+        routes = [route for route in dest.routes if any(ep.state == READY for ep in route.endpoints)]
+        return min((max(route.wait_until, route.hold_until) for route in routes),
+                   default=float("inf") if self._sure else now)
+
     def _make_room(self, now: float) -> None:
         while len(self._held) >= max(2, self._set.max_held):    # what a restart found is tried, in less too
             lines = [(each.troubled(now), len(each.line), -number) for number, each in
@@ -559,7 +547,7 @@
                 LONG_WAIT_MS or ep.streak >= max(STREAK, 2 * enough) and now - ep.failed_at >= SHUT_MS:
             self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
 
-    def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Endpoint, why: str) -> None:
+    def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Place, why: str) -> None:
         route.ill_at = route.ill_at if any(each.ill for each in route.endpoints) else now
         for each in route.endpoints:    # a shut destination is shut at all its endpoints
             if each is ep or why == FULL and each.ok_at < ep.failed_at:
@@ -579,7 +567,7 @@
 
     # What other senders tell: evidence that is weaker than an outcome, and ages
 
-    def _tell(self, now: float, ep: Endpoint, what: str) -> None:
+    def _tell(self, now: float, ep: Place, what: str) -> None:
         known = now < self._crowded_until.get(ep.kind, 0.0) if what == CROWD else ep.ill and what != BACK
         if self._set.notes and now >= ep.note_at and not known \
                 and not self._notes.wait_ms(now, TOLD / self._set.senders, TOLD_AT_ONCE):
@@ -609,14 +597,13 @@
             self._stirred = True
             self._back(now, dest, route, ep)
 
-    def _crowded(self, now: float, ep: Endpoint) -> None:
-        """Connection tables of this kind are full: none is kept idle there for a while."""
+    def _crowded(self, now: float, ep: Place) -> None:      # full tables of its kind: none is kept idle there
         if now >= self._crowded_until.get(ep.kind, 0.0):
             self._stirred = True
             self._lying.update({each.name: each for each in self._endpoints.values() if each.kind == ep.kind})
         self._crowded_until[ep.kind] = now + CROWDED_MS
 
-    def _rumoured(self, now: float, ep: Endpoint, why: str) -> bool:
+    def _rumoured(self, now: float, ep: Place, why: str) -> bool:
         """Counts a failure, here or as told; many for its traffic make an endpoint ill."""
         dest, route, count = ep.route.destination, ep.route, ep.word.at(now, 1.0)
         usual = dest.usual(now) * self._set.senders / max(1, len(route.endpoints))
@@ -646,7 +633,7 @@
                 self._tell(now, ep, BACK)
                 self._back(now, dest, route, ep)
 
-    def _back(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> None:
+    def _back(self, now: float, dest: Destination, route: Route, ep: Place) -> None:
         route.away_ms = now - route.ill_at
         for each in route.endpoints:    # a sibling that failed and served nothing since is as cold
             if each is ep or each.streak and not each.ill:
@@ -655,7 +642,7 @@
                 each.meter = Meter(now, self._draw(0.0, 1.0))
         self._host.log(f"destination {dest.number}: endpoint back, {dest.rate(now):.2f} documents/s")
 
-    def _patience(self, ep: Endpoint, doc: Document) -> float:
+    def _patience(self, ep: Place, doc: Document) -> float:
         seen = max(ep.usual_ms, ep.recent_ms)
         scarce = self._out >= self._set.slots * SCARCE and not self._set.notes  # these tell of the silent
         patience = (HASTY if scarce else PATIENCE) * seen if seen else doc.kind.agreed_ms   # none seen yet
@@ -668,8 +655,7 @@
         span = max(kind.expiry_ms - kind.agreed_ms, 1.0)
         return doc.worth * kind.value * (1.0 - (1.0 - kind.late_share) * min(1.0, late / span))
 
-    def _last_call(self, doc: Document) -> float:
-        """The last moment at which a transmission may still help."""
+    def _last_call(self, doc: Document) -> float:       # the last moment at which one may still help
         end = doc.expiry - CALL_MS
         if doc.doubt and doc.kind.effect == NUMBERED:
             end = min(end, doc.doubt[0][0] + doc.kind.window_ms)
@@ -678,14 +664,14 @@
     def _join(self, now: float, entry: our.Endpoint) -> None:
         dest = self._destination(entry.destination, now)
         number = sum(len(each.endpoints) for each in dest.routes) + 1
-        ep = self._endpoints[entry.name] = Endpoint(entry, number, now, self._norm, Fading(now, WORD_MS))
+        ep = self._endpoints[entry.name] = Place(entry, number, now, self._norm, Fading(now, WORD_MS))
         self._marks[mark(entry.name)] = ep
         self._seat(now, dest, ep, entry.rate if self._set.rates_listed else 0.0)
         others = [each for each in ep.route.endpoints if each is not ep]
         ep.ill = any(other.ill for other in others)     # a new one beside the sick or cold: no burst
         ep.back_at = max((each.back_at for each in others if each.back_at), default=None)
 
-    def _seat(self, now: float, dest: Destination, ep: Endpoint, rate: float) -> None:
+    def _seat(self, now: float, dest: Destination, ep: Place, rate: float) -> None:
         if not dest.routes or self._set.routes_apart[ep.kind]:
             dest.routes.append(Route(dest, self._set.per_call[ep.kind], rate, now))
         ep.route = dest.routes[-1]
@@ -695,16 +681,13 @@
         """Other settings, for what comes next; what is held, out, told, paid, resting or learnt stays."""
         apart, self._set, self._stirred = self._set.routes_apart, settings, True
         self._types = {kind.name: kind for kind in settings.types}
-        self._quotas(settings)
+        self._quotas = dict(settings.tenants)
+        self._traffic = {name: ring for name, ring in self._traffic.items() if name in self._quotas}
         for dest in self._destinations.values():
             dest.resize(settings)
             if apart != settings.routes_apart:
                 self._regroup(now, dest)
 
-    def _quotas(self, settings: our.Settings) -> None:
-        self._tenants = {name: (quota, self._tenants[name][1] if name in self._tenants else Ring(
-            -BUCKETS * BUCKET_MS, BUCKET_MS, BUCKETS)) for name, quota in settings.tenants}
-
     def _regroup(self, now: float, dest: Destination) -> None:
         eps = [ep for route in dest.routes for ep in route.endpoints]
         dest.routes = [] if eps else dest.routes    # what was told outlasts the last endpoint
--- a/birchstack/net/config.py
+++ b/birchstack/net/config.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import os
 from collections.abc import Mapping
@@ -21,6 +22,7 @@
            "rules.warmUpMs")            # without these nothing can be decided
 
 TOLD = ("name", "listen", "discovery", "state", "ops")    # keys that the environment may say instead
+RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds", "version")  # at SIGHUP
 NOT_CARRIED = {"limits.mayTell": "notes between senders", "limits.probes": "probes",
                "limits.mayDuplicate": "second copies"}     # switches that sockets have no way for
 ONE_ONLY = {"limits.streamsPerConn": "calls on one connection", "domain.perCall": "documents in one call"}
@@ -195,3 +197,12 @@
     if fresh.kinds[:both] != old.kinds[:both] or listed >= max(1, both):
         raise ConfigError("settings.hostTypes: while it runs, kinds come and go only at the end, and "
                           "none that is listed may go")
+
+
+def take_over(fresh: Config, old: Config) -> tuple[Config, list[str], list[str]]:
+    """At SIGHUP: the configuration from now on, the settings that change, and what waits for a restart."""
+    changed = [each.name for each in dataclasses.fields(Settings)
+               if getattr(fresh.settings, each.name) != getattr(old.settings, each.name)]
+    waits = [each.name for each in dataclasses.fields(Config) if each.name not in RELOADED
+             and getattr(fresh, each.name) != getattr(old, each.name)]
+    return dataclasses.replace(old, **{name: getattr(fresh, name) for name in RELOADED}), changed, waits
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import logging
 from collections import Counter
 
@@ -16,10 +15,11 @@
 from birchstack.decide import NEVER_RAN, Sender
 from birchstack.net.by_hand import ByHand
 from birchstack.net.calls import Call, Calls
-from birchstack.net.config import Config, ConfigError, fits, load
+from birchstack.net.config import Config, ConfigError, fits, load, take_over
 from birchstack.net.discovery import Watch
 from birchstack.net.front import ABANDONED, CLOSED, REJECTED, TAKEN, Front, Handed
-from birchstack.net.ledger import WAITING, Ledger
+from birchstack.net.ledger import WAITING, Ledger, Owed
+from birchstack.net.listed import Listed
 from birchstack.net.log import broken, holds, say
 from birchstack.net.machine import LastingClock, Machine
 from birchstack.net.notices import Notices
@@ -32,7 +32,6 @@
 NEAR_MS = 100.0                 # an answer so shortly before it may count as too late: clocks and sockets lag
 REPORT_S = 60.0
 CLIENTS_SHARE, OTHERS = 40, 64  # of the descriptors, in hundredths; and what is no client and no call
-RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds", "version")  # at SIGHUP
 REMEMBERED = 4096               # answers kept for ids that come again
 LOCK, LOOK_S = "lock", 0.05     # held by the process that sends from the folder; asked for so often meanwhile
 log = logging.getLogger(__name__)
@@ -55,7 +54,8 @@
         self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, idle, self._up,
                             self._delivered, self._ended)
         types = {kind.name: kind.expiry_ms for kind in config.settings.types}
-        self._front = Front(loop, types, clients, self._serves, self._handed)
+        self._list = Listed(self._calls)
+        self._front = Front(loop, types, clients, self._list.serves, self._handed)
         self._watch = Watch(loop, config.discovery, config.kinds, self._listed, self._told)
         self._notices = Notices(loop, config.discovery, self._acknowledged)
         self._inbox: list[tuple] = []           # the events of this pass
@@ -63,13 +63,11 @@
         self._starting: dict[str, Call] = {}    # calls that begin at the end of this turn
         self._connected: list[Call] = []        # calls with their connection: they leave at its end
         self._answers: dict[str, tuple[str, float]] = {}    # by id, for those that come again
-        self._entries: dict[str, our.Endpoint] = {}     # each endpoint listed, as discovery lists it
         self._by_hand = ByHand(folder, self._lasting.ms)
         self._refused: list[str] = []           # in this turn, for the witness
         self._failed: list[str] = []
         self._counted: Counter[tuple[str, int]] = Counter()    # by type: delivered, refused, failed
         self._reloads, self._untried = [0, 0], Counter()    # found at the start, given up uncalled: by reason
-        self._destinations: dict[int, None] = {}    # those listed, the longest unheard of first
         self._turn_due, self._turned_at = False, 0.0
         self._alarm: asyncio.TimerHandle | None = None
         self._closing_at: float | None = None
@@ -104,8 +102,8 @@
         self._ready = True
         if not self._holds:
             self._loop.call_later(LOOK_S, self._wait_for_the_folder)
-        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._entries),
-            holds=self._holds)
+        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed),
+            endpoints=len(self._list.entries), holds=self._holds)
 
     def _take_up(self) -> None:
         """What the folder owes goes to the decisions."""
@@ -124,13 +122,19 @@
             if owed.notice:
                 self._notices.tell(owed.id, *owed.notice)
                 continue
-            if owed.type not in self._front.types:
-                self._owe_notice(owed.id, "dead", 0.0, "its type is in the settings no more")
-                continue
-            doubt = tuple((now + when - wall, zone) for zone, when in owed.doubt)
-            past = our.Past(owed.sent, owed.failed, doubt)
-            self._inbox.append((self._core.document, owed.id, owed.destination, owed.type,
-                                owed.expiry - wall, owed.key, past))
+            self._inbox.append((self._adopt, owed))
+
+    def _adopt(self, now: float, owed: Owed, tenant: str | None = None) -> None:
+        """What was taken on before goes to the decisions, with its past."""
+        wall = self._lasting.ms()
+        owed.due = now + owed.expiry - wall
+        if owed.type not in self._front.types:
+            self._owe_notice(owed.id, "dead", 0.0, "its type is in the settings no more")
+            return
+        doubt = tuple((now + when - wall, zone) for zone, when in owed.doubt)
+        past = our.Past(owed.sent, owed.failed, doubt) if owed.found else our.NO_PAST
+        self._core.document(now, owed.id, owed.destination, owed.type, owed.expiry - wall, owed.key, past,
+                            tenant)
 
     def _wait_for_the_folder(self) -> None:
         """Another process of this sender holds the folder: this one takes documents on and sends nothing.
@@ -170,10 +174,6 @@
             self._turn_due = True
             self._loop.call_soon(self._turn)
 
-    def _serves(self, destination: int) -> bool:
-        """False for a destination that is in no list; as long as there was no list, nobody knows."""
-        return destination in self._destinations or not self._destinations
-
     def _handed(self, handed: Handed) -> None:
         self._happened(self._take_on, handed)
 
@@ -181,22 +181,7 @@
         return self._witness is None or self._witness.told(told, source)
 
     def _listed(self, mode: str, listed: list) -> None:
-        if mode == our.WHOLE:                   # what it leaves out is gone
-            named = {entry.name for entry, _ in listed}
-            for name in [each for each in self._entries if each not in named]:
-                self._calls.gone(name)
-                del self._entries[name]
-        for entry, where in listed:
-            if entry.state != our.GONE:
-                self._calls.move(entry.name, where)
-                self._entries[entry.name] = entry
-                self._destinations.pop(entry.destination, None)
-                self._destinations[entry.destination] = None
-            else:
-                self._calls.gone(entry.name)
-                self._entries.pop(entry.name, None)
-        while len(self._destinations) > max(REMEMBERED, len(self._entries)):
-            del self._destinations[next(iter(self._destinations))]
+        self._list.apply(mode, listed)
         if self._holds:
             self._happened(self._core.endpoints, mode, [self._by_hand.as_told(entry) for entry, _ in listed])
             return
@@ -223,10 +208,8 @@
         if outcome.wait_ms > 0.0:
             self._ledger.told(call.endpoint, self._lasting.ms() + outcome.wait_ms)
         owed = self._ledger.owed.get(call.doc)
-        if owed:
-            if owed.notice is not None:
-                pass                            # until the platform knows
-            elif outcome.over:
+        if owed and owed.notice is None:        # else it is kept until the platform knows
+            if outcome.over:
                 self._ledger.done(owed)
             else:
                 failed = outcome.kind not in (our.FULL, our.UNSENT)
@@ -354,7 +337,7 @@
                 and self._core.stands(now, call.doc)):
             return False
         try:
-            self._ledger.call(owed, self._entries[call.endpoint].zone, self._lasting.ms())
+            self._ledger.call(owed, self._list.entries[call.endpoint].zone, self._lasting.ms())
         except OSError as problem:
             say(log, "not sent", logging.ERROR, problem=problem)
             return False
@@ -399,9 +382,8 @@
         owed = self._ledger.owed.get(doc_id)
         if holds(owed and owed.notice is None, "a document has one end"):
             if owed.found and not owed.sent:    # a restart found it, and nothing tried it
-                listed = any(entry.state == our.READY and entry.destination == owed.destination
-                             for entry in self._entries.values())
-                why = why or ("its time, or a told wait" if listed else "no endpoint is ready")
+                why = why or ("its time, or a told wait" if self._list.ready(owed.destination) else
+                              "no endpoint is ready")
                 self._untried[why] += 1
                 say(log, "given up with no call", logging.WARNING, doc=doc_id, reason=why)
             self._count(owed.id, owed.type, result == "dead")
@@ -444,15 +426,15 @@
         types = [kind.name for kind in self._config.settings.types]
         types += sorted({name for name, _ in self._counted if name not in types})
         out = self._by_hand.out
-        avoided = sum(name in self._entries for name in out) + sum(
+        avoided = sum(name in self._list.entries for name in out) + sum(
             name not in out for name in self._core.avoided())
         held = sum(owed.notice is None for owed in self._ledger.owed.values())
         return Figures({name: tuple(self._counted[name, at] for at in range(3)) for name in types},
-                       self._calls.transmitted, held, len(self._entries), avoided, tuple(self._reloads),
+                       self._calls.transmitted, held, len(self._list.entries), avoided, tuple(self._reloads),
                        self._witness.figures() if self._witness else [])
 
     def _by_hand_now(self, endpoint: str, out: bool) -> Answer:
-        entry = self._entries.get(endpoint)
+        entry = self._list.entries.get(endpoint)
         answer = self._by_hand.set(endpoint, out, entry is not None)
         if answer.yes and entry and self._holds:
             self._happened(self._core.endpoints, our.CHANGES, [self._by_hand.as_told(entry)])
@@ -472,17 +454,13 @@
             fresh = load(again=True)
             self._turn()                        # what came before is taken on under the old settings
             held = {owed.type for owed in self._ledger.owed.values() if owed.notice is None}
-            fits(fresh, self._config, held, max((entry.kind for entry in self._entries.values()), default=0))
+            fits(fresh, self._config, held, self._list.last_kind())
         except ConfigError as problem:
             say(log, "configuration not taken over", logging.ERROR, problem=problem)
             self._reloads[1] += 1
             return
         self._reloads[0] += 1
-        waits = [each.name for each in dataclasses.fields(Config) if each.name not in RELOADED
-                 and getattr(fresh, each.name) != getattr(self._config, each.name)]
-        changed = [each.name for each in dataclasses.fields(our.Settings)
-                   if getattr(fresh.settings, each.name) != getattr(self._config.settings, each.name)]
-        self._config = dataclasses.replace(self._config, **{name: getattr(fresh, name) for name in RELOADED})
+        self._config, changed, waits = take_over(fresh, self._config)
         self._front.types = {kind.name: kind.expiry_ms for kind in fresh.settings.types}
         self._calls.idle_ms, self._calls.dial_ms = fresh.idle_ms, fresh.dial_ms
         if self._witness:
--- a/birchstack/state.py
+++ b/birchstack/state.py
@@ -8,6 +8,7 @@
 from birchstack import interface as our
 from birchstack.interface import BINDING
 
+SPARE = 64      # lines of keys kept beyond twice those in use
 MARK = 6        # letters that stand for an endpoint in notes
 
 
@@ -163,3 +164,22 @@
 
     def allows(self, doc: Document, now: float) -> bool:
         return self.used(now) and self.docs[0] is doc and (now >= self.rest_until or self.rested_by is doc)
+
+
+class Keys:
+    """The line of each key that is in use; those that are no more go when they are many."""
+
+    def __init__(self) -> None:
+        self._lines: dict[str, Keyline] = {}
+        self._most = SPARE
+
+    def __len__(self) -> int:
+        return len(self._lines)
+
+    def join(self, now: float, key: str, doc: Document) -> Keyline:
+        if len(self._lines) >= self._most:
+            self._lines = {each: line for each, line in self._lines.items() if line.used(now)}
+            self._most = 2 * len(self._lines) + SPARE
+        line = self._lines.setdefault(key, Keyline())
+        line.docs.append(doc)
+        return line
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -106,9 +106,9 @@
                 node._listed(mode, [listed(f"e{number - 1}", our.GONE, 9, number - 1)])
             node._listed(mode, [listed(f"e{number}", our.READY, 9, number)])
             node._turn()
-        assert [*node._calls.addresses] == [*node._entries] == [*node._core._endpoints] == ["e5999"]
-        assert len(node._destinations) <= 4096 and len(node._core._destinations) < 100
-        assert node._serves(5999) and not node._serves(70000)
+        assert [*node._calls.addresses] == [*node._list.entries] == [*node._core._endpoints] == ["e5999"]
+        assert len(node._list._destinations) <= 4096 and len(node._core._destinations) < 100
+        assert node._list.serves(5999) and not node._list.serves(70000)
     node.run(story)
 
 
