--- a/birchstack/ledger/records.py
+++ b/birchstack/ledger/records.py
@@ -82,7 +82,21 @@
     id: str
 
 
-Record = Take | Call | Back | Past | Notice | Done
+class Kept(msgspec.Struct, array_like=True, tag_field="kind", tag="k", frozen=True):
+    """A document of the backlog, whole and untried. expiry, taken: lasting clock, milliseconds."""
+
+    id: str
+    type: str
+    destination: int
+    key: str | None
+    expiry: float
+    body: bytes
+    repeat_key: str | None = None
+    tenant: str | None = None
+    taken: float = 0.0
+
+
+Record = Take | Call | Back | Past | Notice | Done | Kept
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Record).decode
 _sum = google_crc32c.value
