Long lines of documents may wait on disk: the joint between decisions, ledger and a store

Cause: every document taken on stands before the decisions and in memory, with a file for its body; a destination that is down fills both. Change: where a store is given, a destination keeps a window of documents before the decisions and the rest of its line there (net/overflow.py), in order of arrival; a document is written to the ledger before the store is told, and the store is told before the decisions hear. The decisions say how many more are wanted (Sender.room) and whether a new one can be served behind those that wait (Sender.back_ms); what runs out of time on disk is handed to them and ends as any other. Without a store nothing of it runs.

--- a/birchstack/__main__.py
+++ b/birchstack/__main__.py
@@ -8,6 +8,8 @@
 
 from birchstack.net import log
 from birchstack.net.config import Config, ConfigError, load
+from birchstack.net.overflow import FILES
+from birchstack.net.overflow import Make as MakeStore
 from birchstack.net.sender import Node
 from birchstack.net.witness import Make
 
@@ -25,8 +27,22 @@
     return settings.room_for(told, config), witness.maker(told)
 
 
-async def _serve(config: Config, witness: Make | None) -> None:
-    node = Node(config, asyncio.get_running_loop(), witness=witness)
+def _store(config: Config) -> MakeStore | None:
+    """What keeps long lines of documents on disk, where operators switched it on."""
+    path = os.environ.get("BALANCER_BACKLOG")
+    if not path:
+        if any(name.startswith(FILES) for name in os.listdir(config.state)):
+            raise ConfigError(f"BALANCER_BACKLOG: not set, but documents wait in a backlog in {config.state}")
+        return None
+    try:
+        from birchstack.backlog import maker, settings
+    except ModuleNotFoundError as problem:
+        raise ConfigError(f"BALANCER_BACKLOG: {problem.name} is missing (the extra `backlog`)") from problem
+    return maker.maker(settings.load(path))
+
+
+async def _serve(config: Config, witness: Make | None, store: MakeStore | None) -> None:
+    node = Node(config, asyncio.get_running_loop(), witness=witness, store=store)
     await node.start()
     gc.collect()
     gc.freeze()                 # what a start leaves behind is never garbage
@@ -38,10 +54,11 @@
     log.start()
     try:
         config, witness = _witness(load())
+        store = _store(config)
     except ConfigError as problem:
         print(f"birchstack: configuration: {problem}", file=sys.stderr)
         return 2
-    asyncio.run(_serve(config, witness))
+    asyncio.run(_serve(config, witness, store))
     return 0
 
 
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -107,7 +107,7 @@
         self.line: list[Document] = []
         self.window, self.tokens = float("inf"), TOKENS
         self.resize(settings)
-        self.out, self.turn = 0, turn   # calls out; for taking endpoints in turn
+        self.out, self.kept, self.turn = 0, 0, turn     # calls out; waiting on disk; for taking them in turn
 
     def resize(self, settings: our.Settings) -> None:
         slots, self.least = settings.slots, LEAST_TOGETHER / settings.senders
@@ -255,7 +255,7 @@
         self._stirred = False
         for dest in [self._failed.pop(each) for each in [*self._failed]]:      # before a restart
             for ep in [each for route in dest.routes for each in route.endpoints]:
-                ep.ill = dest.failed >= max(STREAK, FAILED_PART * dest.taken)   # down: one call first
+                ep.ill = dest.kept > 0 or dest.failed >= max(STREAK, FAILED_PART * dest.taken)  # one call
             dest.failed = 0
         self._busy += (self._level - self._busy) * min(1.0, (now - self._turned) / BUSY_MS)
         self._alarm = self._alarm if now < self._alarm - EARLY_MS else float("inf")
@@ -464,7 +464,7 @@
         ready = sum(each.state == READY for each in route.endpoints)
         rate = max(dest.usual(now), route.limit * RAMP / self._set.senders)
         if self._set.notes:         # all were told at one time: what waits goes over as long as it was away
-            rate = max(rate, len(dest.line) * 1000.0 / max(route.away_ms, WARM_LEAST_MS)) * SURE
+            rate = max(rate, (len(dest.line) + dest.kept) * 1000.0 / max(route.away_ms, WARM_LEAST_MS)) * SURE
         wait_ms = ep.meter.wait_ms(now, rate * share / ready, 1.0)
         if wait_ms > 0.0:
             self._wake(now, now + wait_ms)
@@ -487,6 +487,26 @@
         return min((max(route.wait_until, route.hold_until) for route in routes),
                    default=float("inf") if self._sure else now)
 
+    def room(self, destination: int, window: int, lines: int, kept: int) -> int:
+        """How many more of a destination's documents are wanted of a host that keeps long lines on disk: a
+        window at most, and half of what may be held for all such lines, so that others find room. lines:
+        how many there are; kept: how many documents wait in this one."""
+        if dest := self._destinations.get(destination):
+            dest.kept = kept
+            if kept and not self._turned:       # there since before a restart: it was down
+                self._failed[destination] = dest
+        most, held = self._set.max_held // (2 if kept else 1), len(dest.line) + dest.out if dest else 0
+        return min(max(1, min(window, most // max(1, lines))) - held, most - len(self._held))
+
+    def back_ms(self, now: float, destination: int, left_ms: float, ahead: int) -> float:
+        """For a document that would wait on disk behind so many: 0 to take it on, else when it may come
+        again, as no place can take it in its time. How long a line at an ill one will take is not known."""
+        if not (dest := self._destinations.get(destination)) or not dest.routes:
+            return 0.0
+        served = 0.0 if dest.troubled(now) else sum(route.served.rate(now) for route in dest.routes)
+        wait_ms = max(self._opens(now, dest) - now, ahead * 1000.0 / served if served else 0.0)
+        return min(self._set.retry_after_ms, wait_ms) if wait_ms > left_ms - CALL_MS else 0.0
+
     def _make_room(self, now: float) -> None:
         while len(self._held) >= max(2, self._set.max_held):    # what a restart found is tried, in less too
             lines = [(each.troubled(now), len(each.line), -number) for number, each in
@@ -620,7 +640,7 @@
         silent = now - ep.failed_at > OUTAGE_MS and all(each.ok_at < ep.failed_at for each in route.endpoints)
         silent = silent or any(each.ill for each in route.endpoints)    # an outage that few calls here met
         back = call.sent_at >= route.ill_at if ep.ill else \
-            ep.streak and silent and len(dest.line) > max(STREAK, LINE * dest.rate(now))
+            ep.streak and silent and len(dest.line) + dest.kept > max(STREAK, LINE * dest.rate(now))
         ep.streak, ep.ok_at, ep.failing, ep.doubtful = 0, now, ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
--- a/birchstack/emulator/virtual.py
+++ b/birchstack/emulator/virtual.py
@@ -23,6 +23,7 @@
 from birchstack.net import log as sender_log
 from birchstack.net.config import decode
 from birchstack.net.machine import Machine
+from birchstack.net.overflow import Make
 from birchstack.net.sender import Node
 
 CLOSE_MS = 3700.0  # SIGKILL comes so long after SIGTERM
@@ -105,7 +106,8 @@
     def _main(self) -> None:
         # "/" is a folder everywhere; the machine gives the one in memory in its place
         config = decode(self._day.world.config(self.number, "/"), {})
-        self.node = Node(config, self.loop, MemoryMachine(self._day, self.number, self._folder))
+        machine = MemoryMachine(self._day, self.number, self._folder)
+        self.node = Node(config, self.loop, machine, store=self._day.store)
         self.node.ended.add_done_callback(self._ended)
         self.loop.create_task(self.node.start()).add_done_callback(self._ready)
 
@@ -228,10 +230,12 @@
 
 
 class VirtualDay:
-    """One scenario with one seed, from its start to its result."""
+    """One scenario with one seed, from its start to its result. store: makes what keeps long lines of
+    documents on each sender's disk, if anything does."""
 
-    def __init__(self, scenario: Scenario, seed: int, keep_log: bool = False) -> None:
-        self.scenario, self.seed = scenario, seed
+    def __init__(self, scenario: Scenario, seed: int, keep_log: bool = False,
+                 store: Make | None = None) -> None:
+        self.scenario, self.seed, self.store = scenario, seed, store
         self.clock = Clock()
         told = scenario.network
         self.network = Network(self.clock, seed, told.delay_ms, told.client_delay_ms, told.jitter)
--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -57,6 +57,7 @@
     repeat_key: str | None = None       # passed on with every transmission, where its client sent one
     started: float = 0.0                # when it was decided
     written: float = 0.0
+    destination: int = -1
 
 
 class Line:
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -11,6 +11,7 @@
 import json
 import logging
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from birchstack.net.log import say
@@ -66,6 +67,7 @@
         self.owed: dict[str, Owed] = {}
         self.ended: dict[str, None] = {}        # ended before the start; the file still told of them
         self.waits: dict[str, float] = {}       # by endpoint, until when it told to wait, by the wall clock
+        self.freed: Callable[[int], None] = lambda destination: None    # hears of each end, by destination
         self._bodies = self._size = self._next = 0
         self._file, self._name = -1, FILE
         if waiting:
@@ -124,6 +126,7 @@
         owed.notice = result, wait_ms
         self._note(["notice", owed.id, result, wait_ms])
         self._forget_body(owed)
+        self.freed(owed.destination)
 
     def done(self, owed: Owed) -> None:
         """Nothing more is owed."""
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 from collections import Counter
 
@@ -25,6 +26,8 @@
 from birchstack.net.notices import Notices
 from birchstack.net.operators import Answer, Door, Figures
 from birchstack.net.operators import Calls as Asked
+from birchstack.net.overflow import Make as MakeStore
+from birchstack.net.overflow import Overflow
 from birchstack.net.witness import Make, Moment
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5     # after SIGTERM: new clients, new calls, answers to calls
@@ -41,7 +44,8 @@
     """Carries out what the decisions say, and tells them what happens."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop,
-                 machine: Machine | None = None, witness: Make | None = None) -> None:
+                 machine: Machine | None = None, witness: Make | None = None,
+                 store: MakeStore | None = None) -> None:
         self._config, self._loop, self._began = config, loop, loop.time()
         self._machine = machine or Machine()
         folder = self._folder = self._machine.folder(config.state)
@@ -78,6 +82,7 @@
                       lambda endpoint: self._by_hand_now(endpoint, False), lambda: self._drain(True),
                       lambda: self._drain(False), self._witness.asked if self._witness else None)
         self._door = Door(loop, asked) if config.ops else None
+        self._store, self._overflow = store, None   # documents beyond a window, where operators keep them
         self.ended = loop.create_future()
 
     def clock(self) -> float:
@@ -102,15 +107,13 @@
         self._ready = True
         if not self._holds:
             self._loop.call_later(LOOK_S, self._wait_for_the_folder)
-        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed),
+        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed) + len(self._overflow or ()),
             endpoints=len(self._list.entries), holds=self._holds)
 
     def _take_up(self) -> None:
         """What the folder owes goes to the decisions."""
         now, wall = self.clock(), self._lasting.ms()
-        self._answers.update({doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)})
-        while len(self._answers) > REMEMBERED:
-            del self._answers[next(iter(self._answers))]
+        self._remember({doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)})
         back = self._by_hand.back
         for name in {**self._ledger.waits, **back}:     # before the documents: they may be held by it
             wait_ms = self._ledger.waits.get(name, wall) - wall
@@ -123,18 +126,21 @@
                 self._notices.tell(owed.id, *owed.notice)
                 continue
             self._inbox.append((self._adopt, owed))
+        if self._store and self._holds:
+            self._overflow = Overflow(self._store(self._folder, wall), self._ledger, self._core, wall,
+                                      self._loop, functools.partial(self._guarded, self._adopt), self._soon)
 
     def _adopt(self, now: float, owed: Owed, tenant: str | None = None) -> None:
         """What was taken on before goes to the decisions, with its past."""
         wall = self._lasting.ms()
         owed.due = now + owed.expiry - wall
+        self._remember({owed.id: (TAKEN, 0.0)})
         if owed.type not in self._front.types:
             self._owe_notice(owed.id, "dead", 0.0, "its type is in the settings no more")
             return
         doubt = tuple((now + when - wall, zone) for zone, when in owed.doubt)
         past = our.Past(owed.sent, owed.failed, doubt) if owed.found else our.NO_PAST
-        self._core.document(now, owed.id, owed.destination, owed.type, owed.expiry - wall, owed.key, past,
-                            tenant)
+        self._core.document(now, owed.id, owed.destination, owed.type, owed.due - now, owed.key, past, tenant)
 
     def _wait_for_the_folder(self) -> None:
         """Another process of this sender holds the folder: this one takes documents on and sends nothing.
@@ -214,6 +220,7 @@
             else:
                 failed = outcome.kind not in (our.FULL, our.UNSENT)
                 self._ledger.back(owed, outcome.kind not in NEVER_RAN, failed)
+        self._ledger.freed(call.destination)
         self._happened(self._core.outcome, call.doc, call.endpoint, outcome)
 
     def _acknowledged(self, ids: list[str]) -> None:
@@ -233,6 +240,8 @@
                 self._take_on(now, *words)
             else:
                 self._guarded(tell, now, *words)
+        if self._overflow and self._closing_at is None:
+            self._overflow.turn(now, self._lasting.ms())
         if self._calling():
             self._guarded(self._core.turn, now)
             self._turned_at = now
@@ -271,10 +280,16 @@
             handed.reply(CLOSED)                # nobody hears it, and nothing was taken on
         elif handed.id in self._fresh:
             self._fresh[handed.id].again.append(handed)
-        elif handed.id in self._answers:
-            handed.reply(*self._answers[handed.id])
-        elif self._closing_at is not None and not self._handing or not self._ledger.fits(
-                [len(handed.body), *(len(each.body) for each in self._fresh.values())]):
+        elif handed.id in self._answers or self._overflow and self._overflow.holds(handed.id):
+            handed.reply(*self._answers.get(handed.id, (TAKEN, 0.0)))
+        elif self._closing_at is not None and not self._handing:
+            self._answer(handed, CLOSED, advice_ms)
+        elif self._overflow and (verdict := self._overflow.takes(now, handed, age, advice_ms)):
+            if verdict[0] != TAKEN:
+                self._answer(handed, *verdict)
+            else:
+                self._fresh[handed.id] = handed
+        elif not self._ledger.fits([len(handed.body), *(len(each.body) for each in self._fresh.values())]):
             self._answer(handed, CLOSED, advice_ms)
         else:
             handed.left_ms -= age
@@ -288,17 +303,23 @@
     def _answer(self, handed: Handed, verdict: str, wait_ms: float = 0.0) -> None:
         if verdict != TAKEN:
             self._count(handed.id, handed.type, verdict == ABANDONED)
-        self._answers[handed.id] = verdict, wait_ms
-        if len(self._answers) > REMEMBERED:
-            del self._answers[next(iter(self._answers))]
+        self._remember({handed.id: (verdict, wait_ms)})
         handed.reply(verdict, wait_ms, close=self._front.ending)
 
+    def _remember(self, answers: dict[str, tuple[str, float]]) -> None:
+        self._answers.update(answers)
+        while len(self._answers) > REMEMBERED:
+            del self._answers[next(iter(self._answers))]
+
     def _settle(self, now: float) -> None:
         """After the turn: the ledger, then the answers, then the calls."""
         fresh, self._fresh = self._fresh, {}
         wall = self._lasting.ms()
         for handed in fresh.values():
             try:
+                if self._overflow and self._overflow.record(handed, wall):
+                    self._answer(handed, TAKEN)
+                    continue
                 owed = self._ledger.take(handed.id, handed.type, handed.destination, handed.key,
                                          wall + handed.left_ms, handed.body, handed.repeat_key)
             except OSError as problem:
@@ -363,8 +384,8 @@
 
     def transmit(self, doc_id: str, endpoint: str, patience_ms: float) -> None:
         owed = self._ledger.owed.get(doc_id)
-        number = owed.sent if owed else 0
-        self._starting[doc_id] = Call(doc_id, number, endpoint, b"", patience_ms)
+        number, where = (owed.sent, owed.destination) if owed else (0, -1)
+        self._starting[doc_id] = Call(doc_id, number, endpoint, b"", patience_ms, destination=where)
 
     def reject(self, doc_id: str, retry_after_ms: float) -> None:
         if doc_id in self._fresh:
@@ -428,7 +449,7 @@
         out = self._by_hand.out
         avoided = sum(name in self._list.entries for name in out) + sum(
             name not in out for name in self._core.avoided())
-        held = sum(owed.notice is None for owed in self._ledger.owed.values())
+        held = len(self._overflow or ()) + sum(owed.notice is None for owed in self._ledger.owed.values())
         return Figures({name: tuple(self._counted[name, at] for at in range(3)) for name in types},
                        self._calls.transmitted, held, len(self._list.entries), avoided, tuple(self._reloads),
                        self._witness.figures() if self._witness else [])
@@ -501,8 +522,8 @@
             untried=dict(self._untried))
         self._watch.stop()
         self._calls.close()
-        if self._door:
-            self._door.close()
+        for each in filter(None, (self._overflow, self._door)):
+            each.close()
         if self._witness:
             self._witness.ended()
         if not self.ended.done():
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -188,11 +188,11 @@
 class World:
     """answers: what the endpoint says to its next calls; status: what the platform says to notices."""
 
-    def __init__(self, folder, known=True, changes=None, **limits):
+    def __init__(self, folder, known=True, changes=None, environment=None, **limits):
         self.folder, self.answers, self.calls, self.notices, self.asked = folder, [], [], [], []
         self.status, self.watchers, self.lines, self.connections, self.process = 204, [], [], 0, None
         self.port, self._known, self._limits, self.out, self.most_out = free_port(), known, limits, 0, 0
-        self.ops, self.changes = free_port(), changes or {}
+        self.ops, self.changes, self._environment = free_port(), changes or {}, environment or {}
         self.on_call = lambda: None
 
     async def __aenter__(self):
@@ -230,7 +230,7 @@
         return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     async def start(self):
-        told = {"BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent}
+        told = {**self._environment, "BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log())
         for _ in range(500):
@@ -247,7 +247,7 @@
         """Starts the sender once more beside the one that runs, as an upgrade does: same configuration and
         folder, another operators' door. Returns the process and that door's port once it says it is ready."""
         ops = free_port()
-        told = {"BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent,
+        told = {**self._environment, "BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent,
                 "BALANCER_OPS": f"127.0.0.1:{ops}"}
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log())
--- /dev/null
+++ b/tests/test_overflow.py
@@ -0,0 +1,163 @@
+"""Documents beyond a destination's window: drawn days in virtual time, and real processes that are killed."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+from fake import SETTINGS, World, answer, post, read_message
+
+from birchstack.backlog import settings
+from birchstack.backlog.maker import maker
+from birchstack.emulator.scenario import WRITES, DocumentType, Scenario, Trouble, draw
+from birchstack.emulator.virtual import VirtualDay
+
+ROOM = 64 << 20
+TWO_DOWN = (Trouble(kind="silent", at=3.0, seconds=6.0, destinations=(0, 1)),
+            Trouble(kind="refusing", at=4.0, seconds=8.0, destinations=(2,)))
+
+
+class Seen:
+    """A maker of stores that counts what went through them."""
+
+    def __init__(self, window=4):
+        self._make, self.kept, self.stores = maker(settings.Settings(window=window, bytes=ROOM)), 0, []
+
+    def __call__(self, folder, now):
+        made = self._make(folder, now)
+        append = made.store.append
+
+        def counted(kept):
+            append(kept)
+            self.kept += 1
+        made.store.append = counted
+        self.stores.append(made.store)
+        return made
+
+
+def played(scenario, seed, window=4):
+    seen = Seen(window)
+    day = VirtualDay(scenario, seed, keep_log=True, store=seen)
+    result = day.play()
+    assert not result.breaches, result.text_of_breaches()
+    return day, result, seen
+
+
+def test_on_drawn_days_no_rule_breaks_with_lines_on_disk():
+    kept = 0
+    for seed in range(3000, 3014):
+        _, result, seen = played(draw(seed, Scenario(seconds=20.0)), seed, window=1 + seed % 4)
+        assert result.figures["delivered"] > 300
+        kept += seen.kept
+    assert kept > 500
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_sender_that_starts_again_does_not_push_over_what_it_has_a_line_for(seed):
+    """A window holds few documents, so few failures are known after a restart; the line says it was down."""
+    kills = (Trouble(kind="kill", at=6.0, senders=(0,)), Trouble(kind="sigterm", at=8.5, senders=(1,)))
+    _, result, seen = played(Scenario(seconds=20.0, senders=2, troubles=TWO_DOWN + kills), 5 + seed)
+    assert seen.kept > 50 and not any(map(len, seen.stores[-2:]))
+
+
+@pytest.mark.parametrize("write", [1, 2, 3, 5, 8, 13, 21, 34])
+@pytest.mark.parametrize("kind", WRITES)
+def test_a_kill_at_a_write_loses_nothing_that_waits_on_disk(kind, write):
+    """In fill (5 s) and in the drain after the return (10 s)."""
+    kills = tuple(Trouble(kind=kind, at=at, senders=(0,), size=float(write)) for at in (5.0, 10.0))
+    day, _, seen = played(Scenario(seconds=18.0, senders=1, troubles=TWO_DOWN + kills), 3)
+    assert [life.how for life in day.judge.lives[0]] == ["killed at a write"] * 2 + [""] and seen.kept > 20
+
+
+def test_a_full_disk_refuses_and_what_waits_is_still_delivered():
+    full = (Trouble(kind="disk_full", at=6.0, seconds=3.0, senders=(0,)),)
+    _, _, seen = played(Scenario(seconds=20.0, senders=1, troubles=TWO_DOWN + full), 4)
+    assert seen.kept and not any(map(len, seen.stores))
+
+
+def test_a_short_expiry_on_disk_is_answered_in_its_time_among_long_ones():
+    types = (DocumentType(name="long", effect="replayable", share=1.0, expiry_ms=60000.0),
+             DocumentType(name="brief", effect="binding", share=1.0, agreed_ms=500.0, expiry_ms=1000.0))
+    _, result, seen = played(Scenario(seconds=16.0, senders=1, types=types, troubles=TWO_DOWN), 2)
+    assert seen.kept and result.figures["notice bounced"] > 10      # the judge minds their time
+
+
+# Real processes
+
+SERVICES = [*SETTINGS["services"], {**SETTINGS["services"][0], "name": "turn", "oneAtATime": True}]
+CHANGES = {"settings__services": SERVICES, "settings__limits__maxOpen": 400}
+
+
+def play(folder, story, **words):
+    async def whole():
+        (folder / "state").mkdir()
+        path = folder / "backlog.toml"
+        path.write_text(f"[backlog]\nwindow = 4\nbytes = {ROOM}\n")
+        async with World(folder / "state", changes=dict(CHANGES), environment={"BALANCER_BACKLOG": str(path)},
+                         **words) as world:
+            await asyncio.wait_for(story(world), 30.0)
+    asyncio.run(whole())
+
+
+async def hand_in(world, names, kind="turn", key="k"):
+    reader, writer = await world.client()
+    for name in names:
+        writer.write(post(name, kind, left=19000, more=f"Cookie: thread={key}\r\n"))
+        assert (await read_message(reader))[0].startswith("HTTP/1.1 202")
+    writer.close()
+
+
+def segments(world):
+    return [each for each in os.listdir(world.folder) if each.startswith("backlog-") and each[8].isdecimal()]
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_a_line_on_disk_outlasts_the_process_and_is_delivered_in_order(tmp_path, number):
+    async def story(world):
+        world.answers = [answer(429, X_Come_Back_Ms="2500")]
+        first, second = ([f"{part}{at}" for at in range(40)] for part in "ab")
+        await hand_in(world, first)
+        assert segments(world)
+        await world.kill(number)
+        await world.start()
+        await hand_in(world, second)
+        await hand_in(world, first[20:30])              # they come again, and wait on disk
+        assert await world.until(lambda: len(world.calls) >= 81, 12.0)
+        assert [doc for doc, *_ in world.calls] == ["a0", *first, *second] and not world.notices
+        assert await world.until(lambda: not segments(world))
+    play(tmp_path, story)
+
+
+def test_binding_documents_that_wait_on_disk_are_called_once_over_kills(tmp_path):
+    async def story(world):
+        names = [f"p{at}" for at in range(60)]
+        world.answers = [answer(429, X_Come_Back_Ms="600")]
+        await hand_in(world, names, "pay", "x")
+        for _ in range(4):
+            await world.until(lambda: len(world.calls) > 5 and world.out == 0, 1.0)
+            await world.kill(signal.SIGKILL)
+            await world.start()
+        assert await world.until(
+            lambda: len({doc for doc, *_ in world.calls}) + len(world.notices) >= 60, 12.0)
+        called = [doc for doc, *_ in world.calls]
+        assert sum(called.count(name) > 1 for name in names) <= 1       # the one that was told to wait
+        assert {*called} | {each["ref"] for each in world.notices} == {*names}
+    play(tmp_path, story)
+
+
+def test_switched_off_with_a_line_on_disk_it_does_not_start_and_loses_nothing(tmp_path):
+    async def story(world):
+        world.answers = [answer(429, X_Come_Back_Ms="2500")]
+        names = [f"d{at}" for at in range(20)]
+        await hand_in(world, names)
+        await world.kill(signal.SIGKILL)
+        off = {**os.environ, "BALANCER_CONFIG": world.configured()}
+        command = [sys.executable, "-m", "birchstack"]
+        process = subprocess.run(command, env=off, stderr=subprocess.PIPE, timeout=10)
+        assert process.returncode == 2
+        assert process.stderr.startswith(b"birchstack: configuration: BALANCER_BACKLOG: not set, but")
+        await world.start()
+        assert await world.until(lambda: {doc for doc, *_ in world.calls} == {*names}, 12.0)
+    play(tmp_path, story)
