The backlog on disk: a log a destination, sorted runs by id and by time, a manifest

Cause: memory and turns of a sender followed the documents owed. Documents beyond a destination's window are appended to its log and read back in runs; ids are found through filters and sorted runs, expiries through runs sorted by time; a start reads the manifest, the filters and what no mark covers.

The state machine found a count that stayed too high where an ended document's mark was passed before its move.

--- a/birchstack/backlog/model.py
+++ b/birchstack/backlog/model.py
@@ -20,6 +20,7 @@
     def __init__(self, folder: object = None, settings: Settings | None = None, now: float = 0.0) -> None:
         self._room = settings.bytes if settings else 1 << 40
         self._owed: dict[str, Kept] = {}            # in order of arrival
+        self._given: dict[int, list[str]] = {}
 
     def __len__(self) -> int:
         return len(self._owed)
@@ -42,11 +43,15 @@
         return doc_id in self._owed
 
     def read(self, destination: int, most: int) -> list[Kept]:
-        return self._of(destination)[:most]
+        found = self._of(destination)[:most]
+        self._given[destination] = [kept.id for kept in found]
+        return found
 
     def moved(self, destination: int, count: int) -> None:
-        for kept in self._of(destination)[:count]:
-            del self._owed[kept.id]
+        """Those that ended since the read() count too."""
+        for doc_id in self._given[destination][:count]:
+            self._owed.pop(doc_id, None)
+        del self._given[destination][:count]
 
     def due(self, now: float, most: int) -> list[Kept]:
         found = [kept for kept in self._owed.values() if kept.expiry <= now]
--- a/birchstack/emulator/folder.py
+++ b/birchstack/emulator/folder.py
@@ -24,6 +24,7 @@
     def __init__(self) -> None:
         self.files: dict[str, bytearray] = {}
         self.full = False
+        self.limit: int | None = None  # bytes in blocks; room that is given back can be used again
         self.writes = self.most_bytes = 0
         self.strike: tuple[int, str] | None = None  # the write to strike at (counted), and how
         self.died: Callable[[], None] = lambda: None  # ends the process that writes
@@ -71,6 +72,16 @@
         except KeyError:
             raise FileNotFoundError(errno.ENOENT, "No such file", name) from None
 
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        self.size(name)
+        return bytes(self._disk.files[name][offset : offset + size])
+
+    def size(self, name: str) -> int:
+        try:
+            return len(self._disk.files[name])
+        except KeyError:
+            raise FileNotFoundError(errno.ENOENT, "No such file", name) from None
+
     def write(self, name: str, data: bytes) -> None:
         self.close(self._write(self.open(name, fresh=True), data))
 
@@ -94,7 +105,7 @@
         if dies:
             self._open[handle].extend(part)
             disk.end()
-        if disk.full:
+        if disk.full or disk.limit is not None and disk.used() + len(data) > disk.limit:
             part = data[: max(0, -len(self._open[handle]) % BLOCK)]  # the last block has some room left
             if not part:
                 raise _no_space()
--- a/birchstack/ledger/records.py
+++ b/birchstack/ledger/records.py
@@ -96,7 +96,63 @@
     taken: float = 0.0
 
 
-Record = Take | Call | Back | Past | Notice | Done | Kept
+class Page(msgspec.Struct, array_like=True, tag_field="kind", tag="g", frozen=True):
+    """Entries of a sorted run, one behind the other (birchstack.backlog.plan)."""
+
+    entries: bytes
+
+
+class Bits(msgspec.Struct, array_like=True, tag_field="kind", tag="f", frozen=True):
+    """A piece of the filter of a run."""
+
+    piece: bytes
+
+
+class Marks(msgspec.Struct, array_like=True, tag_field="kind", tag="m", frozen=True):
+    """All documents up to these marks are in runs: (destination, segment, documents before the segment,
+    offset, documents before the offset). added, removed: runs (plan.Run)."""
+
+    marks: list[tuple[int, int, int, int, int]]
+    added: list[tuple[str, int, int, int, int]]
+    removed: list[int]
+
+
+class Moved(msgspec.Struct, array_like=True, tag_field="kind", tag="v", frozen=True):
+    """A destination's backlog begins at a place now; ordinal: documents before it; ahead: of those behind it,
+    ended. place 0: nothing is left up to segment `ordinal`."""
+
+    destination: int
+    place: int
+    ordinal: int
+    ahead: int
+
+
+class Ended(msgspec.Struct, array_like=True, tag_field="kind", tag="e", frozen=True):
+    """Documents in the backlog have had their end, by (expiry, destination, place); and all before `mark`."""
+
+    entries: list[bytes]
+    mark: bytes
+
+
+class State(msgspec.Struct, array_like=True, tag_field="kind", tag="s", frozen=True):
+    """Part of a snapshot: (destination, place, ordinal, ahead, marked place, documents before it, segments as
+    number and documents before each)."""
+
+    destinations: list[tuple[int, int, int, int, int, int, list[tuple[int, int]]]]
+
+
+class Whole(msgspec.Struct, array_like=True, tag_field="kind", tag="w", frozen=True):
+    """The snapshot is whole. next: number of the next file; past: names of files that only wait for their
+    removal."""
+
+    next: int
+    mark: bytes
+    ended: list[bytes]
+    past: list[str]
+
+
+Record = (Take | Call | Back | Past | Notice | Done | Kept | Page | Bits | Marks | Moved | Ended | State
+          | Whole)
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Record).decode
 _sum = google_crc32c.value
@@ -134,6 +190,30 @@
     return FRAME.pack(MARK, length, _extend(_sum(length.to_bytes(4, "little")), payload)) + payload
 
 
+def unframe(data: bytes) -> Record | None:
+    """The record that these bytes begin with; None where none does, whole and checked."""
+    if len(data) < FRAME.size:
+        return None
+    mark, length, told = FRAME.unpack_from(data)
+    payload = data[FRAME.size:FRAME.size + length]
+    if mark != MARK or length > MOST or len(payload) < length:
+        return None
+    if _extend(_sum(length.to_bytes(4, "little")), payload) != told:
+        return None
+    try:
+        return _decode(payload)
+    except msgspec.DecodeError:
+        return None
+
+
+def framed(data: bytes) -> int:
+    """How long the record is that these bytes seem to begin with; 0 where none does."""
+    if len(data) < FRAME.size:
+        return 0
+    mark, length, _ = FRAME.unpack_from(data)
+    return FRAME.size + length if mark == MARK and length <= MOST else 0
+
+
 class Damage(msgspec.Struct, frozen=True):
     """Bytes from start up to end that are no record. rot: a record that checks comes behind them."""
 
@@ -145,11 +225,12 @@
 class Scanner:
     """Fed a segment in pieces, its head left out; tells (offset, record) and, at the end, the damages.
 
-    At most one record and one piece are held. Offsets count from the start of the segment."""
+    At most one record and one piece are held. Offsets count from the start of the segment; a scan may begin
+    at any record's (at). past: the offset behind the record last told."""
 
-    def __init__(self, number: int) -> None:
-        self.number, self.damages = number, []
-        self._held, self._at = bytearray(), HEAD.size       # _at: the offset of what is held
+    def __init__(self, number: int, at: int = HEAD.size) -> None:
+        self.number, self.damages, self.past = number, [], at
+        self._held, self._at = bytearray(), at              # _at: the offset of what is held
         self._bad: int | None = None                        # where the present damage begins
 
     def feed(self, data: bytes) -> Iterator[tuple[int, Record]]:
@@ -181,6 +262,7 @@
             if self._bad is not None:
                 self.damages.append(Damage(self._bad, self._at + position, rot=True))
                 self._bad = None
+            self.past = self._at + position + length
             yield self._at + position, record
             position += length
         self._at += position
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -52,6 +52,17 @@
         with open(self._at(name), "rb") as file:
             return file.read()
 
+    def read_at(self, name: str, offset: int, size: int) -> bytes:
+        """A part of a file; fewer bytes where it ends."""
+        handle = os.open(self._at(name), os.O_RDONLY)
+        try:
+            return os.pread(handle, size, offset)
+        finally:
+            os.close(handle)
+
+    def size(self, name: str) -> int:
+        return os.stat(self._at(name)).st_size
+
     def write(self, name: str, data: bytes) -> None:
         """A whole file. Part of it may be there after an error."""
         with open(self._at(name), "wb") as file:
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -12,7 +12,12 @@
 from pathlib import Path
 
 from birchstack import interface as our
+from birchstack.backlog import settings as backlog_settings
+from birchstack.backlog.plan import Sizes
+from birchstack.backlog.store import Backlog
 from birchstack.decide import Sender
+from birchstack.emulator.folder import MemoryFolder
+from birchstack.ledger.records import Kept
 from examples.toy import message as read_message
 
 TYPES = tuple(our.DocumentType(name, effect, 2000.0, 20000.0, 1.0, 0.5, one_zone, 5000.0, in_order)
@@ -353,3 +358,18 @@
         async with World(folder / "state", **words) as world:
             await asyncio.wait_for(story(world), 20.0)
     asyncio.run(whole())
+
+
+# The backlog on disk, small enough that a short story seals, flushes and merges
+
+SMALL = Sizes(sealed=700, flushed=6, unmarked=2000, fan=3, passed=1500, popped=16)
+ROOM = backlog_settings.Settings(window=1, bytes=1 << 30)
+
+
+def kept(number, destination=1, expiry=1e6, body=b"body", taken=None, **words):
+    taken = float(taken if taken is not None else number if isinstance(number, int) else 0)
+    return Kept(f"d{number}", "sync", destination, None, expiry, body, taken=taken, **words)
+
+
+def opened(disk, sizes=SMALL, room=ROOM, now=0.0):
+    return Backlog(MemoryFolder(disk), room, now, sizes)
