What a long turn decided is barred by the time of its writing

Cause: a turn's calls were asked for by Events.stands with the time at which the turn began. A start with many documents, or little processor, makes turns of hundreds of milliseconds; a numbered document whose window of 1 s ended meanwhile (or one past its expiry) was written all the same. The expiry noted with a document counted from the end of its turn, and the sender's own from its beginning: after a restart it lived on by the difference.

Change: Node._settle asks with the time of the writing, and notes the expiry as of the turn's beginning.

--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -313,7 +313,7 @@
     def _settle(self, now: float) -> None:
         """After the turn: the ledger, then the answers, then the calls."""
         fresh, self._fresh = self._fresh, {}
-        wall = self._lasting.ms()
+        wall = self._lasting.ms() + now - self.clock()      # when the turn began: it may have been long
         for handed in fresh.values():
             try:
                 owed = self._ledger.take(handed.id, handed.type, handed.destination, handed.key,
@@ -341,7 +341,7 @@
         self._refused, self._failed = [], []
         connected, self._connected = self._connected, []
         for call in [*connected, *(each for each in leaving if self._calls.begin(each))]:
-            self._calls.go(call, self._leaves(now, call))
+            self._calls.go(call, self._leaves(self.clock(), call))
 
     def _leaves(self, now: float, call: Call) -> bool:
         """The moment a call takes effect is its writing: what holds then counts, and is in the ledger first.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,6 +1,7 @@
 """The last resorts of the sender: faults that should not be, met by what is owed."""
 
 import asyncio
+import dataclasses
 import time
 
 import pytest
@@ -10,6 +11,7 @@
 from birchstack.net import sender as module
 from birchstack.net.config import decode
 from birchstack.net.front import CLOSED, TAKEN
+from birchstack.net.ledger import Ledger
 
 
 class Handed:
@@ -136,3 +138,34 @@
         await asyncio.sleep(0.15)
         assert len(turns) == 1
     node.run(story)
+
+
+@pytest.mark.parametrize("window, written", [(1000.0, False), (9000.0, True)])
+def test_a_window_that_ends_during_a_long_turn_bars_the_call_that_the_turn_decided(node, window, written):
+    async def story():
+        kind = our.DocumentType("order", our.NUMBERED, 2000.0, 20000.0, 1.0, 0.4, False, window, False)
+        node._core.adopt(0.0, dataclasses.replace(node._config.settings, types=(kind,)))
+        node._front.types["order"], wall = 20000.0, node._lasting.ms()
+        owed = node._ledger.take("d", "order", 1, None, wall + 9000.0, b"x")
+        node._ledger.call(owed, "a", wall - 700.0)      # out when its process ended
+        node._ledger.close()
+        node._ledger = Ledger(node._folder, 3_000_000)
+        node._listed(our.WHOLE, [listed("e1", our.READY, 9)])
+        node._take_up()
+        turn, gone = node._core.turn, []
+        node._core.turn = lambda now: (turn(now), time.sleep(0.4))      # many documents, little processor
+        node._calls.begin = node._calls.waiting = lambda call: True
+        node._calls.go = lambda call, may: gone.append(may)
+        node._turn()
+        assert gone == [written]
+    node.run(story)
+
+
+def test_an_expiry_on_disk_counts_from_the_beginning_of_a_long_turn(node):
+    async def story():
+        turn, began = node._core.turn, node._lasting.ms()
+        node._core.turn = lambda now: (turn(now), time.sleep(0.4))
+        node._inbox.append((node._take_on, Handed(left_ms=5040.0)))
+        node._turn()
+        assert began + 5000.0 <= node._ledger.owed["d"].expiry < began + 5200.0
+    node.run(story)
