An outcome lost to a full disk leaves its call in doubt, whatever is written after it

Cause: where the record of an outcome could not be written, the next call's record took the place of the call that was out, and the outcome of a transmission that was never written was taken for that call's. After a restart a numbered document that may have run counted as one that had not: no window and no zone bound it.

Change: a call read while one is out leaves that one in doubt; a transmission that was not written has a record of its own (kept). Files with the old records read as before.

Stories in tests/test_ledger.py: written and not written fail without the change (run), written anew held before.

--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -106,9 +106,13 @@
         owed.sent, owed.out = owed.sent + 1, (zone, when)
 
     def back(self, owed: Owed, doubt: bool, failed: bool) -> None:
-        """The transmission that was decided has its outcome, whether it was written or not."""
+        """The transmission that was decided has its outcome, whether it was written or not.
+
+        One that was not written has a record of its own: where a full disk lost the one of a call before it,
+        that call stays in doubt, and its window and zone bind."""
+        words = ["back", owed.id, int(doubt), int(failed)] if owed.out else ["kept", owed.id, int(failed)]
         self._came_back(owed, doubt, failed)
-        self._note(["back", owed.id, int(doubt), int(failed)])
+        self._note(words)
         self._tidy()
 
     def told(self, endpoint: str, until: float) -> None:
@@ -253,7 +257,11 @@
             return
         owed = self.owed[doc_id]
         if what == "call":
+            if owed.out:                # the record of how it ended is not there
+                owed.doubt.append(owed.out)
             owed.sent, owed.out = owed.sent + 1, (words[0], words[1])
+        elif what == "kept":
+            owed.sent, owed.failed = owed.sent + 1, owed.failed + words[0]
         elif what == "back":
             self._came_back(owed, *words)
         elif what == "past":
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -102,6 +102,34 @@
     assert not ledger.owed and os.listdir(tmp_path) == ["ledger"]
 
 
+@pytest.mark.parametrize("then", ["written", "not written", "written anew"])
+def test_an_outcome_that_a_full_disk_lost_leaves_its_call_in_doubt(tmp_path, monkeypatch, then):
+    ledger = Ledger(Folder(str(tmp_path)), 3_000_000)
+    owed, write = take(ledger), os.write
+    ledger.call(owed, "az", 100.0)
+    monkeypatch.setattr(module.os, "write", lambda *words: 0)
+    ledger.back(owed, True, True)               # it may have run
+    monkeypatch.setattr(module.os, "write", write)
+    if then == "written":
+        ledger.call(owed, "bz", 900.0)
+    ledger.back(owed, False, False)             # and this one surely not
+    assert owed.doubt == [("az", 100.0)]
+    if then == "written anew":
+        assert ledger.compact()
+    back = Ledger(Folder(str(tmp_path)), 3_000_000).owed["d"]
+    assert (back.sent, back.doubt) == (2, [("az", 100.0)])
+
+
+def test_a_call_that_is_out_while_the_file_is_written_anew_counts_from_its_writing(tmp_path):
+    ledger = Ledger(Folder(str(tmp_path)), 3_000_000)
+    owed = take(ledger)
+    ledger.call(owed, "az", 100.0)
+    ledger.back(owed, True, True)
+    ledger.call(owed, "bz", 900.25)
+    assert ledger.compact()
+    assert Ledger(Folder(str(tmp_path)), 3_000_000).owed["d"].doubt == [("az", 100.0), ("bz", 900.25)]
+
+
 def test_a_process_that_waits_writes_apart_and_the_next_holder_takes_both_up(tmp_path):
     folder = Folder(str(tmp_path))
     holder = Ledger(folder, 3_000_000)
