--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -227,7 +227,7 @@
             self._learn(now, doc.destination, call, outcome)    # once, however many share the call
         call.heard = True
         if outcome.kind not in NEVER_RAN and outcome.kind != OK:
-            doc.doubt.append((call.sent_at, call.ep.zone))
+            doc.doubt.append((call.left_at, call.ep.zone))
             if doc.keyline:
                 doc.keyline.rest(now + self._set.key_rest_ms, doc)
         if outcome.over and not doc.over:
@@ -250,7 +250,10 @@
 
     def stands(self, now: float, doc_id: str) -> bool:      # its connection may have come up late
         doc = self._held.get(doc_id)
-        return doc is not None and doc.out is not None and not self._barred(now, doc, doc.out.ep)
+        if doc is None or doc.out is None or self._barred(now, doc, doc.out.ep):
+            return False
+        doc.out.left_at = now           # from here on it may run, and its window counts
+        return True
 
     def withdrawn(self, now: float, doc_id: str) -> None:
         self._stirred = True
@@ -322,13 +325,11 @@
 
     def _barred(self, now: float, doc: Document, ep: Endpoint) -> bool:
         """True if a rule forbids this transmission."""
-        if doc.over or now >= doc.expiry or ep.state != READY or now < ep.route.wait_until \
+        if doc.over or now >= min(doc.expiry, doc.known_until() - CALL_MS) or ep.state != READY \
+                or now < ep.route.wait_until \
                 or doc.lost() or doc.keyline and not doc.keyline.allows(doc, now):
             return True
-        if doc.doubt and doc.kind.effect == NUMBERED:
-            since, zone = doc.doubt[0]
-            return now >= since + doc.kind.window_ms or (doc.kind.one_zone and ep.zone != zone)
-        return False
+        return doc.known_until() < float("inf") and doc.kind.one_zone and ep.zone != doc.doubt[0][1]
 
     def _transmit(self, now: float, doc: Document, ep: Endpoint) -> None:
         dest, dest.turn = doc.destination, ep.number + 1
@@ -669,11 +670,8 @@
         return doc.worth * kind.value * (1.0 - (1.0 - kind.late_share) * min(1.0, late / span))
 
     def _last_call(self, doc: Document) -> float:
-        """The last moment at which a transmission may still help."""
-        end = doc.expiry - CALL_MS
-        if doc.doubt and doc.kind.effect == NUMBERED:
-            end = min(end, doc.doubt[0][0] + doc.kind.window_ms)
-        return end
+        """The last moment at which a transmission may still help, and has not left its window on its way."""
+        return min(doc.expiry, doc.known_until()) - CALL_MS
 
     def _join(self, now: float, entry: our.Endpoint) -> None:
         dest = self._destination(entry.destination, now)
--- a/birchstack/state.py
+++ b/birchstack/state.py
@@ -6,7 +6,7 @@
 from collections import deque
 
 from birchstack import interface as our
-from birchstack.interface import BINDING
+from birchstack.interface import BINDING, NUMBERED
 
 MARK = 6        # letters that stand for an endpoint in notes
 
@@ -100,6 +100,7 @@
 
     def __init__(self, ep, now: float, idle_ms: float) -> None:
         self.ep, self.sent_at, self.idle_ms, self.trial = ep, now, idle_ms, ep.ill
+        self.left_at = now              # when it was written, where that comes later
         self.docs, self.heard = 0, False    # documents without an outcome; whether one had its outcome
 
 
@@ -123,6 +124,10 @@
     def lost(self) -> bool:     # it must not be transmitted again, nor handed in again
         return bool(self.doubt) and self.kind.effect == BINDING
 
+    def known_until(self) -> float:     # its endpoint drops repeats so long, where it may have run
+        known = self.doubt and self.kind.effect == NUMBERED
+        return self.doubt[0][0] + self.kind.window_ms if known else float("inf")
+
 
 class Place:
     """What is kept of one endpoint."""
