--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -91,6 +91,32 @@
     assert story.tries("d") == 2 and story.said == [("d", "abandoned")]
 
 
+@pytest.mark.parametrize("wait, tries", [(4700.0, 3), (4850.0, 2)])
+def test_a_repeat_has_time_to_arrive_before_the_window_of_its_first_call_ends(wait, tries):
+    story = Story()
+    story.take("d", "order")                    # a window of 5 s
+    story.ends("d", our.RESET)
+    story.at(100.0)
+    assert story.tries("d") == 2
+    story.ends("d", our.FULL, wait_ms=wait)
+    story.at(5200.0)
+    assert story.tries("d") == tries and len(story.said) == 3 - tries
+
+
+@pytest.mark.parametrize("late, tries", [(0.0, 2), (800.0, 3)])
+def test_the_window_counts_from_when_a_call_was_written_not_decided(late, tries):
+    story = Story()
+    story.take("d", "order")
+    story.at(late)                              # its connection came up
+    assert story.sender.stands(story.now, "d")
+    story.ends("d", our.RESET)
+    story.at(late + 100.0)
+    assert story.tries("d") == 2
+    story.ends("d", our.FULL, wait_ms=5200.0 - story.now)
+    story.at(6000.0)
+    assert story.tries("d") == tries
+
+
 @pytest.mark.parametrize("state", [our.DRAINING, our.GONE])
 def test_nothing_new_goes_to_an_endpoint_that_leaves(state):
     story = Story(endpoints=("a", "b"))
