The watch's clock runs from the ask: a list is acted on within 5.5 s

Term: what discovery has counts as told 6 s after it could be reached, whatever failed before.

Cause: the head of an answer set the clock of silence back to 5 s. An ask whose head came late (up to 2 s) and which said nothing more was given up 7 s after it began.

Change: from the ask on, a whole list, a change or a beat has to come within BEAT_S * BEATS, whenever the head came.

tests/test_watch_bound.py recomputes the sum, draws 400 pasts (broken answers, refusals, silence, starts, SIGHUP) and plays each state on a real connection.

--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -20,6 +20,13 @@
 BEAT_S, BEATS = 2.0, 2.5                # a line comes so often; after so many without one it is silent
 ANSWER_S, AGAIN_S = 2.0, 0.5            # an answer begins at once; a watch that ended is asked for again
 FIRST_S = 0.5                           # the first list of a start comes at once, or the one known counts
+# What discovery has counts as told TOLD_S after it could be reached, whatever failed before. The next ask
+# that it can answer begins ASKED_S after that moment at the latest: one that waits for its dial or its head
+# is given up ANSWER_S after it began; one that says nothing whole BEAT_S * BEATS after it began, or last
+# did; what ends by itself just before is asked for again AGAIN_S later: max(2, 5) + 0.5 = 5.5 s. The other
+# 0.5 s are for the dial, the head and the list. A longer pause between asks has to fit in here
+# (tests/test_watch_bound.py).
+TOLD_S, ASKED_S = 6.0, max(ANSWER_S, BEAT_S * BEATS) + AGAIN_S
 MOST_LIST = 4 << 20
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 MOST_REV = (1 << 63) - 1                # what every keeper of versions can hold
@@ -39,13 +46,14 @@
     """listed(mode, entries) hears of every list and change. told(line, source) hears of each before, and may
     say no: the list stays as it was.
 
-    One clock tells its silence: only a whole list, a change or a beat sets it back. Bytes alone do not: a
-    list that never ends would keep a broken watch open."""
+    One clock tells its silence: it runs from the ask, and only a whole list, a change or a beat sets it back.
+    Bytes alone do not, nor does the head: an answer that begins late and never ends would keep a broken watch
+    open for longer than a change may take."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], kinds: tuple[str, ...],
                  listed: Callable, told: Callable[[dict, str], bool] = lambda told, source: True) -> None:
         self._loop, self._where, self._kinds, self._listed, self._told = loop, where, kinds, listed, told
-        self._version, self._heard_at = 0, loop.time()
+        self._version, self._heard_at, self._asked_at = 0, loop.time(), 0.0
         self._known: tuple[dict, list, int] | None = None   # a start's list, until a watch says more
         self._link: Link | None = None
         self._dial: Dial | None = None
@@ -92,7 +100,8 @@
             return
         self._reader, self._held, self._lines = http1.Responses(max_body=None), bytearray(), []
         self._depth = self._size = 0
-        self._timer = self._loop.call_later(ANSWER_S, self._ask)
+        self._asked_at = self._loop.time()
+        self._timer = self._loop.call_at(self._asked_at + ANSWER_S, self._ask)
         self._dial = Dial(self._loop, self._where, self, self._again)
 
     def _hang_up(self) -> None:
@@ -108,11 +117,11 @@
         self._hang_up()
         self._timer = self._loop.call_later(AGAIN_S, self._ask)
 
-    def _heard(self) -> None:
+    def _heard(self, since: float | None = None) -> None:
         self._heard_at = self._loop.time()
         if self._timer:
             self._timer.cancel()
-        self._timer = self._loop.call_later(BEAT_S * BEATS, self._ask)
+        self._timer = self._loop.call_at((since or self._heard_at) + BEAT_S * BEATS, self._ask)
 
     def opened(self, link: Link) -> None:
         self._link, self._dial = link, None
@@ -130,7 +139,7 @@
                 if isinstance(event, http1.Response):
                     if event.status != 200:
                         raise http1.Malformed(f"status {event.status}")
-                    self._heard()
+                    self._heard(self._asked_at)
                 elif event is http1.END:
                     ended = True                # what came whole before it counts
                     break
--- /dev/null
+++ b/tests/test_watch_bound.py
@@ -0,0 +1,276 @@
+"""What discovery has counts as told 6 s after it could be reached, whatever failed before: the sum of the
+watch's time-outs, all its states drawn in virtual time, and each of them once on real connections."""
+
+import asyncio
+import contextlib
+import json
+import random
+
+from fake import Shut, free_port, read_message
+
+from birchstack.emulator.clock import Clock, ProcessLoop
+from birchstack.emulator.network import Network
+from birchstack.net.discovery import AGAIN_S, ANSWER_S, ASKED_S, BEAT_S, BEATS, TOLD_S, Watch
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+BUSY = b"HTTP/1.1 503 Busy\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def listed(rev):
+    entry = {"uid": "s-1", "endpoint": "127.0.0.1:9", "az": "a", "model": "shop", "pod_group": rev,
+             "state": "active", "capacity_hint": 1.0, "boot_ms": 0}
+    return json.dumps({"rev": rev, "all": True, "targets": [entry]}).encode() + b"\n"
+
+
+def test_the_sum_of_the_time_outs_stays_inside_the_term():
+    longest = max(ANSWER_S, BEAT_S * BEATS) + AGAIN_S
+    assert longest == ASKED_S and longest + 0.4 < TOLD_S == 6.0     # what is left: a dial, a head and a list
+
+
+# Every state, drawn, in virtual time
+
+WHOLE, HALF, INDENTED = chunk(listed(1)), chunk(listed(1)[:30]), chunk(b'{\n"rev": 1,\n')
+BEAT = chunk(b"\n")
+SAID = [  # what an answer says before it falls silent; a beat in the middle of an object is none
+    b"", HEAD[:20], HEAD, HEAD + BEAT, HEAD + HALF, HEAD + INDENTED, HEAD + INDENTED + BEAT, HEAD + WHOLE,
+    HEAD + WHOLE + BEAT + HALF, HEAD + WHOLE + INDENTED, HEAD + chunk(b"junk\n"), HEAD + WHOLE + b"zz\r\n",
+    BUSY, b"HTTP/1.1 429 No\r\nRetry-After: 5\r\nContent-Length: 9\r\n\r\n", HEAD + WHOLE + b"0\r\n\r\n",
+    b"HTTP/1.1 100 Go on\r\n\r\n" * 3 + HEAD, b"\0\0\0\r\n\r\n"]
+
+
+class Agent:
+    """One answer of discovery: a broken one, drawn, as long as discovery cannot be reached; then a whole one.
+    What was broken before stays so."""
+
+    def __init__(self, day):
+        self._day, self._began = day, False
+
+    def opened(self, port):
+        self._port = port
+
+    def ended(self, reset):
+        self._port.close()
+
+    def received(self, data):
+        if self._began:
+            return
+        self._began, day = True, self._day
+        if day.clock.now >= day.reached:
+            self._port.write(HEAD + chunk(listed(2)))
+            self._later(BEAT_S, self._beat)
+            return
+        said, chance = day.chance.choice(SAID), day.chance
+        cut = chance.randint(0, len(said)) if chance.random() < 0.3 else len(said)
+        first, when = chance.choice([0.0, 0.0, chance.uniform(0.0, 2.1)]), 0.0
+        for at, part in ((first, slice(cut)), (chance.uniform(0.0, 6.0), slice(cut, None))):
+            when += at
+            self._later(when, self._say, said, part)
+        if chance.random() < 0.4:               # bytes that keep coming, none of them whole
+            for at in range(200):
+                self._later(when + at / 10.0, self._port.write, chunk(b'"x": 0,'))
+        if chance.random() < 0.5:
+            self._later(chance.uniform(0.0, 8.0), chance.choice([self._port.close, self._port.abort]))
+
+    def _say(self, said, part):
+        """Heads come at any time; whole lists and beats only before: else it fell silent later."""
+        past = self._day.clock.now >= self._day.reached
+        self._port.write((said[:len(HEAD)] if past else said)[part])
+
+    def _beat(self):
+        self._port.write(BEAT)
+        self._later(BEAT_S, self._beat)
+
+    def _later(self, after, what, *words):
+        self._day.clock.after(after * 1000.0, lambda: self._port.gone or what(*words))
+
+
+class Day:
+    """A watch from its start until it has acted on what discovery had when it could be reached at last."""
+
+    def __init__(self, seed):
+        self.chance = chance = random.Random(seed)
+        self.clock, self.reached = Clock(), 20.0 + chance.random()
+        network = Network(self.clock, seed, 0.2, 0.2, 0.5)
+        loop, self.acted = ProcessLoop(self.clock, network, "n"), None
+        hosts = [network.serve((name, 1), name, lambda: Agent(self)) for name in ("10.0.0.1", "10.0.0.2")]
+        for host in hosts:                      # before: up, refusing and dark in turn
+            at = 0.0
+            while at < self.reached:
+                self.clock.at(at, self._state, network, host, chance.choice(["up", "up", "refuses", "dark"]))
+                at += chance.choice([chance.uniform(0.05, 1.0), chance.uniform(0.5, 6.0)])
+            self.clock.at(self.reached, self._state, network, host, "up")
+        watch = Watch(loop, ("10.0.0.1", 1), ("shop",), self._listed)
+        starts = self.reached + chance.choice([-20.0, -20.0, -chance.uniform(0.0, 6.0), 1.0])
+        self.clock.at(starts, loop.call_soon, watch.start, {})
+        self.counts_from = max(self.reached, starts)
+        if chance.random() < 0.3:               # SIGHUP in the middle
+            moves = max(starts, self.reached + chance.uniform(-6.0, 6.0))
+            self.clock.at(moves, loop.call_soon, watch.move, ("10.0.0.2", 1), ("shop",))
+        self.clock.run(self.reached + 12.0)
+        self.faults = loop.faults
+
+    @staticmethod
+    def _state(network, host, state):
+        if host.dark and state != "dark":
+            network.light(host)
+        host.dark, host.refusing = state == "dark", state == "refuses"
+        if state == "refuses":
+            network.reset_all(host)
+
+    def _listed(self, mode, entries):
+        if entries[0][0].destination == 2 and self.acted is None:
+            self.acted = self.clock.now
+
+    def took(self):
+        return (self.acted or 99.0) - self.counts_from
+
+
+def test_from_every_state_a_list_is_acted_on_within_the_sum():
+    days = [Day(seed) for seed in range(400)]
+    assert not [day.faults for day in days if day.faults]
+    worst, seed = max((day.took(), seed) for seed, day in enumerate(days))
+    assert worst < ASKED_S + 0.1 < TOLD_S, f"seed {seed}: {worst:.2f} s"
+    assert worst > ASKED_S - 0.3                # else the states that take longest were not drawn
+
+
+# Each state once, on real connections, all at the same time
+
+class Platform:
+    """Discovery on a real socket: broken(writer) for its first connection, a whole answer to the others. It
+    can be reached from the moment in which that first one is asked, for a new ask would be answered."""
+
+    def __init__(self, broken):
+        self._broken, self.reached, self.times = broken, None, 0
+
+    async def serve(self, reader, writer):
+        self.times += 1
+        with contextlib.suppress(ConnectionError):
+            if self.times == 1 and self._broken:
+                await read_message(reader)
+                self.reached = asyncio.get_running_loop().time()
+                await self._broken(writer)
+                await reader.read()
+            elif await read_message(reader):
+                writer.write(HEAD + chunk(listed(2)))
+                await reader.read()
+        writer.close()
+
+    async def open(self, **words):
+        return await asyncio.start_server(self.serve, **(words or {"host": "127.0.0.1", "port": 0}))
+
+
+def says(*pieces, trickle=b""):
+    """pieces: bytes, seconds to wait, or None for a reset; trickle: what comes after them without an end."""
+    async def broken(writer):
+        for piece in pieces:
+            if piece is None:
+                writer.transport.abort()
+            elif isinstance(piece, float):
+                await asyncio.sleep(piece)
+            else:
+                writer.write(piece)
+        while trickle:
+            writer.write(trickle)
+            await writer.drain()
+            await asyncio.sleep(0.1)
+    return broken
+
+
+SILENCE = BEAT_S * BEATS
+BROKEN = {  # what the first answer does, and the time-out that ends it
+    "no head": (says(), ANSWER_S),
+    "half a head": (says(HEAD[:20]), ANSWER_S),
+    "a head and nothing": (says(HEAD), SILENCE),
+    "a head that comes late, and nothing": (says(ANSWER_S - 0.2, HEAD), SILENCE),
+    "a line that never ends": (says(HEAD, trickle=chunk(b'{"x": 0, ')), SILENCE),
+    "an indented object that never ends": (says(HEAD, INDENTED, trickle=BEAT), SILENCE),
+    "a beat that stops": (says(HEAD, BEAT), SILENCE),
+    "a list, then a beat that stops": (says(HEAD, WHOLE, 0.1, BEAT), SILENCE + 0.1),
+    "a reset just before it is given up": (says(HEAD, SILENCE - 0.2, None), SILENCE - 0.2 + AGAIN_S),
+    "a told wait": (says(BUSY), AGAIN_S),
+    "a list that cannot be read": (says(HEAD, chunk(b"junk\n")), AGAIN_S),
+    "a reset": (says(HEAD + WHOLE, 0.1, None), 0.1 + AGAIN_S),
+    "a sender that starts": (None, 0.0)}
+
+
+def watching(place, heard):
+    loop = asyncio.get_running_loop()
+    watch = Watch(loop, place, ("shop",),
+                  lambda mode, entries: heard.append((entries[0][0].destination, loop.time())))
+    watch.start({})
+    return watch
+
+
+async def acted(heard):
+    """When a list of discovery's was acted on that it had from the first moment."""
+    while not any(rev == 2 for rev, _ in heard):
+        await asyncio.sleep(0.005)
+    return next(when for rev, when in heard if rev == 2)
+
+
+async def broken(what):
+    platform, heard, began = Platform(BROKEN[what][0]), [], asyncio.get_running_loop().time()
+    server = await platform.open()
+    watch = watching(server.sockets[0].getsockname(), heard)
+    took = await acted(heard) - (platform.reached or began)
+    watch.stop()
+    server.close()
+    return what, took, BROKEN[what][1]
+
+
+async def silent_dial():
+    """Its dial gets no answer at all, up to the moment in which discovery can be reached."""
+    shut, platform, heard = Shut(), Platform(None), []
+    watch = watching(("127.0.0.1", shut.port), heard)
+    await asyncio.sleep(0.2)
+    shut._door.accept()[0].close()
+    server = await platform.open(sock=shut._door)
+    reached = asyncio.get_running_loop().time()
+    took = await acted(heard) - reached
+    watch.stop()
+    server.close()
+    return "dialling into silence", took, ANSWER_S
+
+
+async def refused_dial():
+    port, heard = free_port(), []
+    watch, again = watching(("127.0.0.1", port), heard), asyncio.Event()
+    watch._again, before = lambda: (before(), again.set()), watch._again
+    await again.wait()
+    server, reached = await Platform(None).open(host="127.0.0.1", port=port), watch._loop.time()
+    took = await acted(heard) - reached
+    watch.stop()
+    server.close()
+    return "a refused dial", took, AGAIN_S
+
+
+async def moved():
+    """SIGHUP while the first address says nothing."""
+    old, new, heard = Platform(says(HEAD)), Platform(None), []
+    servers = [await each.open() for each in (old, new)]
+    watch = watching(servers[0].sockets[0].getsockname(), heard)
+    while not old.reached:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.5)
+    at = asyncio.get_running_loop().time()
+    watch.move(servers[1].sockets[0].getsockname(), ("shop",))
+    took = await acted(heard) - at
+    watch.stop()
+    for each in servers:
+        each.close()
+    return "SIGHUP in the middle", took, 0.0
+
+
+def test_each_state_on_real_connections():
+    async def whole():
+        async with asyncio.timeout(12.0):
+            return await asyncio.gather(*map(broken, BROKEN), silent_dial(), refused_dial(), moved())
+    took = asyncio.run(whole())
+    for what, seconds, bound in took:
+        print(f"{what:40} {seconds:6.3f} s of {bound:.1f} s")
+    late = [(what, seconds) for what, seconds, bound in took if seconds > bound + 0.4]
+    assert not late and max(bound for _, _, bound in took) <= ASKED_S
