Descriptors are divided by what the system allows; idle clients go first, accepting rests

Term: idle clients may fill the descriptors while discovery is down; discovery, endpoints, notices, the ledger and the operators' door must still get theirs.

Cause, seen with RLIMIT_NOFILE at 100, `limits.sockets` at its default of 1024 and 300 idle clients that come again: the sender divided what the file names and never asked the system, so clients filled all descriptors. asyncio's server then logged each attempt (up to 16 a pass) and let nobody in for a second, at the operators' door too: a document and a call at the door both had no answer in 2 s. Besides, up to 16 clients a pass were let in before any was counted, and of those connected too many a client that was just told its last was cut before an idle one.

The longest silent that never asked goes before one that was told its last.

--- a/birchstack/emulator/rig/virtual.py
+++ b/birchstack/emulator/rig/virtual.py
@@ -53,9 +53,12 @@
     def folder(self, path: str) -> MemoryFolder:
         return self._process.folder
 
-    async def listen(self, loop: ProcessLoop, where, protocol, shared: bool = True):
+    async def listen(self, loop: ProcessLoop, where, protocol, *how):
         return await loop.create_server(protocol, *where)
 
+    def descriptors(self) -> int:
+        return 1 << 20
+
     def on_signals(self, loop: ProcessLoop, end, reload) -> None:
         self._process.on_term = end
 
--- a/birchstack/emulator/virtual.py
+++ b/birchstack/emulator/virtual.py
@@ -73,9 +73,12 @@
     def folder(self, path: str) -> MemoryFolder:
         return self._folder
 
-    async def listen(self, loop: ProcessLoop, where: tuple[str, int], protocol, shared: bool = True):
+    async def listen(self, loop: ProcessLoop, where: tuple[str, int], protocol, *how):
         return await loop.create_server(protocol, *where)
 
+    def descriptors(self) -> int:
+        return 1 << 20
+
     def on_signals(self, loop: ProcessLoop, end, reload) -> None:
         for number, what in ((signal.SIGTERM, end), (signal.SIGINT, end), (signal.SIGHUP, reload)):
             loop.add_signal_handler(number, what)
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -15,7 +15,8 @@
 from birchstack.net import http1
 from birchstack.net.driver import Link
 from birchstack.net.log import say
-from birchstack.net.machine import Machine
+from birchstack.net.machine import Listener, Machine
+from birchstack.net.room import coming
 
 TAKEN, REJECTED, CLOSED, ABANDONED = "taken", "rejected", "closed", "abandoned"     # closed: to all, for now
 STATUS = {TAKEN: 202, REJECTED: 429, CLOSED: 503, ABANDONED: 500}
@@ -233,13 +234,14 @@
         self._loop, self.types, self._most, self.serves, self.handed = loop, types, most, serves, handed
         self._clients: dict[Client, None] = {}          # least recently heard of first
         self._leaving: dict[Link, None] = {}            # told their last, not closed yet
-        self._server: asyncio.Server | None = None
+        self._server: Listener | None = None
         self._machine: Machine | None = None
         self.time, self.closing, self.drained, self.counts = loop.time, False, False, {}
 
     async def open(self, machine: Machine, where: tuple[str, int]) -> None:
         self._machine = machine
-        self._server = await machine.listen(self._loop, where, lambda: Link(Client(self)))
+        self._server = await machine.listen(self._loop, where, lambda: Link(Client(self)), True,
+                                            coming(self._most), self._short)
         self._loop.call_later(SWEEP_S, self._sweep)
 
     def __len__(self) -> int:
@@ -261,19 +263,27 @@
             self._make_room(client)
 
     def _make_room(self, newest: Client) -> None:
-        """Those told their last go first, then the longest silent that asks nothing; a live request never."""
+        """The longest silent that never asked goes first, then one told its last, which may not have read it
+        yet, then one that rests or is half read for too long; a live request never."""
         self.count("too many clients")
-        while self._leaving and len(self._clients) + len(self._leaving) > self._most:
-            link = next(iter(self._leaving))
-            del self._leaving[link]
-            link.abort()
-        if len(self._clients) <= self._most:
-            return
-        others = (each for each in self._clients if each is not newest)
-        if free := next((each for each in others if each.idle or each.spent()), None):
-            free.drop()
-        else:
-            newest.refuse()
+        while len(self._clients) + len(self._leaving) > self._most:
+            others = [each for each in self._clients if each is not newest]
+            silent = next((each for each in others if not each.asked and each.idle), None)
+            if silent is None and self._leaving:
+                link = next(iter(self._leaving))
+                del self._leaving[link]
+                link.abort()
+            elif free := silent or next((each for each in others if each.idle or each.spent()), None):
+                free.drop()
+            else:
+                newest.refuse()
+                break
+
+    def _short(self) -> None:
+        """No descriptor is left to let anybody in: the longest silent give theirs."""
+        self.count("no descriptor for a client")
+        for client in [each for each in self._clients if each.idle][:coming(self._most)]:
+            client.drop()
 
     def left(self, client: Client) -> None:
         self._clients.pop(client, None)
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -11,13 +11,17 @@
 import errno
 import fcntl
 import os
+import resource
 import select
 import signal
 import socket
+import sys
 import time
 from collections.abc import Callable
 
-ACCEPTED, BACKLOG = 16, 1024            # so many in one pass at most; so many wait for that in the kernel
+ACCEPTED, BACKLOG = 16, 1024            # so many are let in at once; so many wait for that in the kernel
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+PAUSE_S = 0.1                           # nobody is let in for so long once descriptors ran out
 BOOT = "/proc/sys/kernel/random/boot_id"
 ANCHOR = "clock"                        # the file that ties the lasting clock to the wall clock
 
@@ -76,6 +80,62 @@
         os.unlink(self._at(name))
 
 
+class Listener:
+    """A listening socket and the clients that it lets in.
+
+    asyncio's own server takes descriptors by the pass, before anyone knows of the clients that they went to,
+    and where none is left it logs each attempt and lets nobody in for a second. Here so many are on their way
+    in at once and no more, the others wait in the kernel; where none is left, short() may close something and
+    accepting rests for PAUSE_S. May hurt: a burst comes in over more passes."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, door: socket.socket,
+                 protocol: Callable[[], asyncio.BufferedProtocol], at_once: int,
+                 short: Callable[[], None]) -> None:
+        door.setblocking(False)
+        self._loop, self._door, self._protocol, self._short = loop, door, protocol, short
+        self._at_once = at_once
+        self._coming: set[asyncio.Task] = set()         # let in; their owners do not know of them yet
+        self.sockets: tuple[socket.socket, ...] = (door,)
+        self._begin()
+
+    def is_serving(self) -> bool:
+        return bool(self.sockets)
+
+    def close(self) -> None:
+        """Listens no more; who was let in stays."""
+        if self.sockets:
+            self.sockets = ()
+            self._loop.remove_reader(self._door)
+            self._door.close()
+
+    def _begin(self) -> None:
+        if self.sockets:
+            self._loop.add_reader(self._door, self._accept)
+
+    def _accept(self) -> None:
+        while len(self._coming) < self._at_once:
+            try:
+                client, _ = self._door.accept()
+            except ConnectionAbortedError:
+                continue
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as problem:
+                if problem.errno not in SHORT:
+                    raise
+                self._loop.remove_reader(self._door)
+                self._loop.call_later(PAUSE_S, self._begin)
+                self._short()
+                return
+            task = self._loop.create_task(self._let_in(client))
+            self._coming.add(task)
+            task.add_done_callback(self._coming.discard)
+
+    async def _let_in(self, client: socket.socket) -> None:
+        with contextlib.suppress(OSError):      # gone again already
+            await self._loop.connect_accepted_socket(self._protocol, client)
+
+
 class Machine:
     """This machine, by the standard library."""
 
@@ -102,16 +162,21 @@
     def folder(self, path: str) -> Folder:
         return Folder(path)
 
+    def descriptors(self) -> int:
+        """How many files and sockets the system lets the process have open."""
+        most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        return sys.maxsize if most == resource.RLIM_INFINITY else most
+
     async def listen(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int],
-                     protocol: Callable[[], asyncio.BufferedProtocol], shared: bool = True) -> asyncio.Server:
-        """shared: another process of this sender may listen at the same address (SO_REUSEPORT)."""
+                     protocol: Callable[[], asyncio.BufferedProtocol], shared: bool = True,
+                     at_once: int = ACCEPTED, short: Callable[[], None] = lambda: None) -> Listener:
+        """shared: another process of this sender may listen at the same address (SO_REUSEPORT); at_once: so
+        many are on their way in at most; short() hears that no descriptor was left for the next."""
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
         door = socket.create_server(where, backlog=BACKLOG, family=family, reuse_port=shared)
-        server = await loop.create_server(protocol, sock=door, backlog=ACCEPTED)
-        door.listen(BACKLOG)            # asyncio has one figure for both
-        return server
+        return Listener(loop, door, protocol, at_once, short)
 
-    def knocked(self, server: asyncio.Server) -> bool:
+    def knocked(self, server: Listener) -> bool:
         """True if somebody waits to be let in."""
         return bool(select.select(server.sockets, [], [], 0.0)[0])
 
--- a/birchstack/net/operators.py
+++ b/birchstack/net/operators.py
@@ -19,7 +19,7 @@
 from birchstack.net.machine import Machine
 
 WHOLE_S = 2.0                           # a call not whole by then is cut; it holds nobody up meanwhile
-MOST = 64                               # connections at once; the oldest is cut for a new one
+MOST, AT_ONCE = 64, 2                   # connections in all; the oldest is cut for a new one; let in at once
 BODY = 4096                             # an operator's call brings no more than this
 PREFIX = "balancer"                     # of the names of the figures
 TRAIL = ("GET", "/fleet/trail")         # asked by keepers, where BALANCER_FLEET is set
@@ -131,18 +131,18 @@
 class Door:
     """The operators' listener."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, calls: Calls) -> None:
-        self._loop, self._calls = loop, calls
+    def __init__(self, loop: asyncio.AbstractEventLoop, calls: Calls, most: int = MOST) -> None:
+        self._loop, self._calls, self._most = loop, calls, most
         self._callers: dict[Caller, float] = {}     # by when each must be whole, oldest first
         self._server: asyncio.Server | None = None
         self._sweeping: asyncio.TimerHandle | None = None
 
     async def open(self, machine: Machine, where: tuple[str, int]) -> None:
-        self._server = await machine.listen(self._loop, where, lambda: Link(Caller(self)), shared=False)
+        self._server = await machine.listen(self._loop, where, lambda: Link(Caller(self)), False, AT_ONCE)
         self._sweep()
 
     def joined(self, caller: Caller) -> None:
-        if len(self._callers) >= MOST:          # a crowd of silent ones must not keep the next call out
+        if len(self._callers) >= self._most:          # a crowd of silent ones must not keep the next call out
             next(iter(self._callers)).cut()
         self._callers[caller] = self._loop.time() + WHOLE_S
 
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -25,13 +25,13 @@
 from birchstack.net.notices import Notices
 from birchstack.net.operators import Answer, Door, Figures
 from birchstack.net.operators import Calls as Asked
+from birchstack.net.room import fitted, shares
 from birchstack.net.witness import Make, Moment
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5     # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
 NEAR_MS = 100.0                 # an answer so shortly before it may count as too late: clocks and sockets lag
 REPORT_S = 60.0
-CLIENTS_SHARE, OTHERS = 40, 64  # of the descriptors, in hundredths; and what is no client and no call
 RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds", "version")  # at SIGHUP
 REMEMBERED = 4096               # answers kept for ids that come again
 LOCK, LOOK_S = "lock", 0.05     # held by the process that sends from the folder; asked for so often meanwhile
@@ -43,19 +43,19 @@
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop,
                  machine: Machine | None = None, witness: Make | None = None) -> None:
-        self._config, self._loop, self._began = config, loop, loop.time()
         self._machine = machine or Machine()
+        self._config = config = fitted(config, self._machine.descriptors())
+        self._loop, self._began = loop, loop.time()
         folder = self._folder = self._machine.folder(config.state)
         self._lasting = LastingClock(self._machine, folder)
         self._core = Sender(config.settings, config.seed, self)
         self._holds = folder.lock(LOCK)         # else another process of this sender holds it, and sends
         self._ledger = Ledger(folder, config.disk_bytes, "" if self._holds else f"{config.seed:x}")
-        clients = config.sockets * CLIENTS_SHARE // 100
-        idle = max(8, config.sockets - clients - OTHERS - config.settings.slots)
-        self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, idle, self._up,
+        room = shares(config.sockets, config.settings.slots)
+        self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, room.idle, self._up,
                             self._delivered, self._ended)
         types = {kind.name: kind.expiry_ms for kind in config.settings.types}
-        self._front = Front(loop, types, clients, self._serves, self._handed)
+        self._front = Front(loop, types, room.clients, self._serves, self._handed)
         self._watch = Watch(loop, config.discovery, config.kinds, self._listed, self._told)
         self._notices = Notices(loop, config.discovery, self._acknowledged)
         self._inbox: list[tuple] = []           # the events of this pass
@@ -79,7 +79,7 @@
         asked = Asked(self._ready_now, self._figures, lambda endpoint: self._by_hand_now(endpoint, True),
                       lambda endpoint: self._by_hand_now(endpoint, False), lambda: self._drain(True),
                       lambda: self._drain(False), self._witness.asked if self._witness else None)
-        self._door = Door(loop, asked) if config.ops else None
+        self._door = Door(loop, asked, room.callers) if config.ops else None
         self.ended = loop.create_future()
 
     def clock(self) -> float:
@@ -469,7 +469,7 @@
         """SIGHUP: takes over the settings and where discovery is now, or nothing. Documents held, calls out,
         ids, connections and what was told and learnt stay; what shrinks holds for what comes next."""
         try:
-            fresh = load(again=True)
+            fresh = fitted(load(again=True), self._machine.descriptors())
             self._turn()                        # what came before is taken on under the old settings
             held = {owed.type for owed in self._ledger.owed.values() if owed.notice is None}
             fits(fresh, self._config, held, max((entry.kind for entry in self._entries.values()), default=0))
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -186,14 +187,17 @@
 
 
 class World:
-    """answers: what the endpoint says to its next calls; status: what the platform says to notices."""
+    """answers: what the endpoint says to its next calls; status: what the platform says to notices;
+    descriptors: how many the system lets the sender have."""
 
-    def __init__(self, folder, known=True, changes=None, **limits):
+    def __init__(self, folder, known=True, changes=None, descriptors=None, **limits):
         self.folder, self.answers, self.calls, self.notices, self.asked = folder, [], [], [], []
         self.status, self.watchers, self.lines, self.connections, self.process = 204, [], [], 0, None
         self.port, self._known, self._limits, self.out, self.most_out = free_port(), known, limits, 0, 0
         self.ops, self.changes = free_port(), changes or {}
         self.on_call = lambda: None
+        self._limited = descriptors and (
+            lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
 
     async def __aenter__(self):
         self._servers = [await asyncio.start_server(each, "127.0.0.1", 0)
@@ -232,7 +236,8 @@
     async def start(self):
         told = {"BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent}
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log())
+            sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log(),
+            preexec_fn=self._limited)
         for _ in range(500):
             with contextlib.suppress(OSError):
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
