Slopes of the fleet: hollow senders, list service, repeats, trail and keepers

Cause: nothing said what the list service, repeats to destinations that are down, the trail and a keeper come to with 550 senders. Seen to fail by hand: a hollow one that starts from a known list, one that keeps two more words an endpoint, one that misses what has gone, a service that answers a change with the whole list, trials whose pause does not grow with the senders.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -20,6 +20,12 @@
     "spread": "benchmarks.capacity.spread",
     "turn": "benchmarks.capacity.turn",
     "owed": "benchmarks.capacity.owed",
+    "lists": "benchmarks.capacity.lists",
+    "list-size": "benchmarks.capacity.list_size",
+    "audit": "benchmarks.capacity.audit",
+    "keepers": "benchmarks.capacity.keepers",
+    "repeats": "benchmarks.capacity.repeats",
+    "repeats-down": "benchmarks.capacity.repeats_down",
 }
 FOLDER = Path("docs/capacity")
 
