--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -22,6 +22,8 @@
     "owed": "benchmarks.capacity.owed",
     "lists": "benchmarks.capacity.lists",
     "list-size": "benchmarks.capacity.list_size",
+    "repeats-partly": "benchmarks.capacity.repeats_partly",
+    "cuts": "benchmarks.capacity.cuts",
     "audit": "benchmarks.capacity.audit",
     "keepers": "benchmarks.capacity.keepers",
     "repeats": "benchmarks.capacity.repeats",
--- a/benchmarks/capacity/alone.py
+++ b/benchmarks/capacity/alone.py
@@ -37,7 +37,8 @@
     looks: int = 0                  # moments looked at, one each second; of these:
     share: int = 0                  # repeats were held back by the share over all
     bucket: int = 0                 # destinations down with less than a token in their bucket, added up
-    ill: int = 0                    # likewise: known as ill
+    ill: int = 0                    # likewise: an endpoint known as ill
+    given_up: int = 0               # documents for those down that had their end undelivered
 
     def each_down(self, many: int, senders: int) -> float:
         """A second, of all senders, to one destination that is down."""
@@ -51,7 +52,9 @@
 class Alone:
     """The host of one sender: time, destinations, documents."""
 
-    def __init__(self, senders: int, share_down: float, way: str, seed: int, played: int = PLAYED) -> None:
+    def __init__(self, senders: int, share_down: float, way: str, seed: int, played: int = PLAYED,
+                 endpoints: int = 1) -> None:
+        """endpoints: of each destination; of one that is down the first endpoint alone is."""
         self._senders, self._way, self.now = senders, way, 0.0
         self._chance = random.Random(f"alone {seed} {senders} {share_down} {way}")
         kind = our.DocumentType("sync", our.REPLAYABLE, AGREED_MS, EXPIRY_MS, 1.0, 0.4, False, 0.0, False)
@@ -64,9 +67,9 @@
         self.pair_ms = 1000.0 / (EVENTS / DESTINATIONS / senders)       # from one document to the next
         self._heap: list[tuple[float, int, tuple]] = []
         self._order, self._alarm, self._documents, self._is_down = 0, float("inf"), 0, False
-        self._numbers: dict[str, int] = {}
         self._seen = Seen()
-        listed = [our.Endpoint(f"e{at}", at, "a", 0, our.READY, 0.0) for at in range(played)]
+        listed = [our.Endpoint(f"e{at}-{number}", at, "a", 0, our.READY, 0.0) for at in range(played)
+                  for number in range(endpoints)]
         self._sender.endpoints(0.0, our.WHOLE, listed)
         self._sender.turn(0.0)
         self._later(0.0, ("document",))
@@ -107,27 +110,28 @@
         seen.looks += 1
         seen.share += self._sender._repeats_held
         seen.bucket += sum(dest.tokens < 1.0 for dest in dests)
-        seen.ill += sum(dest.routes[0].endpoints[0].ill for dest in dests)
+        seen.ill += sum(any(ep.ill for ep in dest.routes[0].endpoints) for dest in dests)
 
     # What the decisions ask for
 
     def transmit(self, doc_id: str, endpoint: str, patience_ms: float) -> None:
-        doc, at, seen = self._sender._held[doc_id], int(endpoint[1:]), self._seen
-        number = self._numbers[doc_id] = self._numbers.get(doc_id, -1) + 1
+        doc, seen = self._sender._held[doc_id], self._seen
+        at, which = map(int, endpoint[1:].split("-"))
         seen.all_repeats += doc.repeats > 0
         seen.all_firsts += doc.repeats == 0
         kind, ms = our.OK, ANSWER_MS
-        if at < self._down and self._is_down:
+        if at < self._down and not which and self._is_down:
             ill = doc.out.trial
             seen.trials += ill
             seen.repeats += not ill and doc.repeats > 0
             seen.firsts += not ill and doc.repeats == 0
             kind, ms = {REFUSED: (our.CONNECT_FAILED, 1.0), ERRING: (our.ERROR, ANSWER_MS),
                         SILENT: (our.TIMEOUT, patience_ms)}[self._way]
-        self._later(ms, ("outcome", doc_id, endpoint, our.Outcome(kind, number, ms, kind == our.OK)))
+        self._later(ms, ("outcome", doc_id, endpoint, our.Outcome(kind, doc.sent - 1, ms, kind == our.OK)))
 
     def _ended(self, doc_id: str) -> None:
-        self._numbers.pop(doc_id, None)
+        doc = self._sender._held[doc_id]
+        self._seen.given_up += doc.destination.number < self._down and self._is_down
 
     def reject(self, doc_id: str, retry_after_ms: float) -> None:
         self._ended(doc_id)
