--- a/birchstack/net/overflow.py
+++ b/birchstack/net/overflow.py
@@ -22,7 +22,6 @@
 from birchstack.net.machine import Folder
 
 LINES, RUN, DUE = 16, 32, 64    # in one turn: destinations read from, documents of each, and of those overdue
-FILES = "backlog-"              # the names of its files; none is left where no document waits
 AGAIN_S, LONGEST_S = 0.5, 86400.0       # after an error of the disk; asyncio's timers hold no more than days
 log = logging.getLogger(__name__)
 
