--- a/birchstack/backlog/store.py
+++ b/birchstack/backlog/store.py
@@ -490,7 +490,6 @@
                 if kept is None:
                     self._lose(top, destination, where)
                 elif at_time(kept.expiry, destination, where) == top and kept.id not in self._offered:
-                    kept = msgspec.structs.replace(kept, body=b"")
                     self._offered[kept.id] = top, kept
                     found.append(kept)
             self._index.pop()
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -221,10 +221,8 @@
             doc.doubt.append((call.left_at, call.ep.zone))
             if doc.keyline:
                 doc.keyline.rest(now + self._set.key_rest_ms, doc)
-        if outcome.over and not doc.over:
-            self._end(doc)
-        elif not doc.over:
-            self._resume(now, doc, outcome)
+        if not doc.over:
+            self._end(doc) if outcome.over else self._resume(now, doc, outcome)
 
     def _destination(self, number: int, now: float) -> Destination:
         if number not in self._destinations:
@@ -476,7 +474,7 @@
         its expiry, the client could not ask again. Meets whole destinations drained, gone, out by hand or
         no longer listed, and told waits past the time left; one never listed, or only before the start, waits
         for a list that is late. May hurt where endpoints are listed again soon."""
-        for dest in [dest for dest in self._destinations.values() if dest.line and dest.routes]:
+        for dest in [dest for dest in self._destinations.values() if dest.line]:
             opens = self._opens(now, dest)
             for doc in [doc for doc in dest.line if opens > self._last_call(doc)]:
                 dest.line.remove(doc)
@@ -486,7 +484,7 @@
     def _opens(self, now: float, dest: Destination) -> float:       # to calls; inf: no place is ready there
         routes = [route for route in dest.routes if any(ep.state == READY for ep in route.endpoints)]
         return min((max(route.wait_until, route.hold_until) for route in routes),
-                   default=float("inf") if self._sure else now)
+                   default=float("inf") if self._sure and dest.routes else now)
 
     def room(self, destination: int, window: int, lines: int, kept: int) -> int:
         """How many more of a destination's documents are wanted of a host that keeps long lines on disk: a
@@ -502,10 +500,10 @@
     def back_ms(self, now: float, destination: int, left_ms: float, ahead: int) -> float:
         """For a document that would wait on disk behind so many: 0 to take it on, else when it may come
         again, as no place can take it in its time. How long a line at an ill one will take is not known."""
-        dest = self._destination(destination, now)
-        served = 0.0 if dest.troubled(now) else sum(route.served.rate(now) for route in dest.routes)
-        opens = self._opens(now, dest) if dest.routes else now
-        wait_ms = max(opens - now, ahead * 1000.0 / served if served else 0.0)
+        dest, span_ms = self._destination(destination, now), BUCKETS * BUCKET_MS
+        steady = now - max([dest.since, *(max(it.wait_until, it.hold_until) for it in dest.routes)]) > span_ms
+        served = sum(it.served.rate(now) for it in dest.routes) if steady and not dest.troubled(now) else 0.0
+        wait_ms = max(self._opens(now, dest) - now, ahead * 1000.0 / served if served else 0.0)
         return min(self._set.retry_after_ms, wait_ms) if wait_ms > left_ms - CALL_MS else 0.0
 
     def _make_room(self, now: float) -> None:
--- a/birchstack/net/overflow.py
+++ b/birchstack/net/overflow.py
@@ -22,6 +22,7 @@
 from birchstack.net.machine import Folder
 
 LINES, RUN, DUE = 16, 32, 64    # in one turn: destinations read from, documents of each, and of those overdue
+LAST_MS = CALL_MS - 1.0         # so long before their expiry the decisions surely send them no more
 AGAIN_S, LONGEST_S = 0.5, 86400.0       # after an error of the disk; asyncio's timers hold no more than days
 log = logging.getLogger(__name__)
 
@@ -165,7 +166,7 @@
             return
         if more or self._stirred or self._tidy:
             self._loop.call_soon(self._soon)    # others have their pass first
-        due_s = (self._store.next_due() - CALL_MS - wall) / 1000.0
+        due_s = (self._store.next_due() - LAST_MS - wall) / 1000.0
         if due_s < LONGEST_S:
             self._timer = self._loop.call_later(max(0.0, due_s), self._soon)
 
@@ -176,7 +177,7 @@
 
     def _end_overdue(self, now: float, wall: float) -> bool:
         """No transmission would help these any more: the decisions end each in this turn."""
-        overdue = self._store.due(wall + CALL_MS, DUE)
+        overdue = self._store.due(wall + LAST_MS, DUE)
         for kept in overdue:
             self._move(kept)
         if overdue:
--- a/tests/test_overflow.py
+++ b/tests/test_overflow.py
@@ -161,3 +161,45 @@
         await world.start()
         assert await world.until(lambda: {doc for doc, *_ in world.calls} == {*names}, 12.0)
     play(tmp_path, story)
+
+
+def test_of_three_senders_one_is_killed_and_starts_again_while_their_endpoint_returns(tmp_path):
+    """All have a line for one shared endpoint. Binding documents: a second call of one that may have run
+    would be a second effect."""
+    path = tmp_path / "backlog.toml"
+    path.write_text(f"[backlog]\nwindow = 4\nbytes = {ROOM}\n")
+
+    async def story():
+        worlds = []
+        for name in "abc":
+            (tmp_path / name).mkdir()
+            worlds.append(World(tmp_path / name, known=False, environment={"BALANCER_BACKLOG": str(path)},
+                                changes=dict(CHANGES)))
+        async with worlds[0] as first, worlds[1] as second, worlds[2] as third:
+            whole = {"rev": 8, "all": True, "targets": [first.entry(place=first.place)]}
+            for world in worlds:
+                world.lines = [whole]
+                assert await world.until(lambda world=world: world.watchers)
+                world.say(whole)
+                await hand_in(world, [f"{world.folder.name}-{at}" for at in range(20)], "pay", "x")
+            assert await first.until(lambda: len(first.calls) == 60)    # so its pace is known
+            first.on_call = lambda: first.answers.append(answer(429, X_Come_Back_Ms="700"))
+            names = {world: [f"{world.folder.name}{at}" for at in range(30)] for world in worlds}
+            for world in worlds:
+                await hand_in(world, names[world], "pay", "x")
+            assert first.calls and all(map(segments, worlds))
+            await second.kill(signal.SIGKILL)
+            await second.start()
+            shut, first.on_call = len(first.calls), lambda: None    # the endpoint is back: they drain
+            assert await first.until(lambda: len(first.calls) > shut + 20, 8.0)
+            await second.kill(signal.SIGKILL)
+            await second.start()
+            owed = {doc for docs in names.values() for doc in docs}
+            ended = lambda: {doc for doc, *_ in first.calls[shut:]} | {  # noqa: E731
+                each["ref"] for world in worlds for each in world.notices}
+            assert await first.until(lambda: ended() == owed, 15.0)
+            served = [doc for doc, *_ in first.calls[shut:]]
+            assert len(served) == len({*served}), "none is called again once it may have run"
+            assert await first.until(lambda: not any(map(segments, worlds)))
+            assert not first.notices and not third.notices
+    asyncio.run(asyncio.wait_for(story(), 40.0))
