A sender's least pace stays within its equal part of a told limit; restarts begin with it

Destination 0 (limit 75 a second) served nothing from second 9 to 22 while 60 to 100 calls a second came, every one refused: refused calls use the limit up, so a fleet that goes on at the limit's rate is never served. 14,300 of the 16,800 calls that limits and lines would have allowed are missing in seconds in which over 30 in 100 were refused; all senders stood at the least share (0.003).

Cause, counted: (1) _places: the least pace was half of the sender's usual documents a second, up to 0.5; with 192 senders that is 50 to 96 a second, above the limit, whatever the share. (2) _learn: after a refusal of rare documents the next call came after 0.55 of a step on average (credit 0 to 0.9), 1.8 times that pace. (3) OWN_PART 5: the first cut left five equal parts, and a second of served calls brought a whole one back. Ruled out: readiness (0.1 s), the list, told waits kept, windows, slots.

Change: where a limit is told, the least pace is at most half of an equal part of it; the credit after a refusal is drawn around 0; OWN_PART 2; a destination with documents found by a restart begins with half of its own part of the limit, once told.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -32,7 +32,7 @@
 TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint, or the
 TRIAL_EVERY, SICK_PART = 2000.0, 0.5           # usual time of 2 documents; of half the slots for the sick
 CUT, CUT_ALONE, STEP, STEP_ALONE = 0.6, 0.2, 0.2, 0.1   # share of a limit: cut, and growth a second, of one
-OWN_PART, FEARED_PART = 5.0, 0.4               # of many and more if alone; in parts: so many times its own
+OWN_PART, FEARED_PART = 2.0, 0.4               # of many and more if alone; in parts: so many times its own
 LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
 ROOM_MS, CUT_EVERY_MS = 1000.0, 300.0          # a report of room is believed so long; cuts are no closer
 LEAST_TOGETHER, LEAST_PACE = 4.0, 0.5          # calls a second to a destination, of all senders, of one
@@ -74,7 +74,7 @@
         self.ill_at, self.away_ms = now, 0.0        # since when it is ill, and how long it was the last time
         self.hold_until = 0.0           # others were refused, and told to wait so long
         self.per_call, self.wait_until, self.refused = per_call, 0.0, 0     # refusals in a row
-        self.trial_at, self.trial_ms = 0.0, TRIAL_MS
+        self.trial_at, self.trial_ms, self.equal = 0.0, TRIAL_MS, float("inf")  # equal part of a told limit
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
         self.room, self.room_at, self.meter, self.served = 1.0, now, Meter(now), Ring(now, BUCKET_MS, BUCKETS)
 
@@ -107,7 +107,7 @@
     """One destination: its line of documents, the bucket for repeats and the window."""
 
     def __init__(self, number: int, settings: our.Settings, turn: int, now: float) -> None:
-        self.number, self.taken, self.failed, self.since = number, 0, 0, now
+        self.number, self.taken, self.failed, self.since, self.found = number, 0, 0, now, False
         self.routes: list[Route] = []
         self.line: list[Document] = []
         self.window, self.tokens = float("inf"), TOKENS
@@ -193,6 +193,7 @@
         self._order, self._stirred = self._order + 1, True
         dest = self._destination(destination, now)
         dest.taken, dest.failed = dest.taken + 1, dest.failed + past.failed
+        dest.found = dest.found or past is not our.NO_PAST
         if past.failed:
             self._failed[destination] = dest
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
@@ -249,8 +250,7 @@
         return [ep.name for ep in self._endpoints.values() if ep.ill and ep.state == READY]
 
     def stands(self, now: float, doc_id: str) -> bool:      # its connection may have come up late
-        doc = self._held.get(doc_id)
-        return doc is not None and doc.out is not None and not self._barred(now, doc, doc.out.ep)
+        return bool((doc := self._held.get(doc_id)) and doc.out and not self._barred(now, doc, doc.out.ep))
 
     def withdrawn(self, now: float, doc_id: str) -> None:
         self._stirred = True
@@ -446,7 +446,7 @@
         for route in dest.routes:
             if route.troubled(now) and not self._spares(now, dest):
                 continue
-            wait_ms = route.wait_ms(now, dest.usual(now) / 2.0)
+            wait_ms = route.wait_ms(now, min(dest.usual(now), route.equal) / 2.0)
             if wait_ms > 0.0:
                 self._wake(now, now + wait_ms)
                 continue
@@ -486,10 +486,9 @@
         return wait_ms <= 0.0
 
     def _hopeless(self, now: float) -> None:
-        """What no place can take before its last call is answered now, with when to come back: held until
-        its expiry, the client could not ask again. Meets whole destinations drained, gone, out by hand or
-        no longer listed, and told waits past the time left; one never listed, or only before the start, waits
-        for a list that is late. May hurt where endpoints are listed again soon."""
+        """What no place can take before its last call is answered now, with when to come back; held, the
+        client could not ask again. Meets destinations drained, gone, out by hand or unlisted, and told waits
+        past the time left; one not listed since the start waits for it. May hurt where listed again soon."""
         never = float("inf") if self._sure else now
         for dest in [dest for dest in self._destinations.values() if dest.line and dest.routes]:
             routes = [route for route in dest.routes if any(ep.state == READY for ep in route.endpoints)]
@@ -500,24 +499,24 @@
                 self._resume(now, doc, None)
 
     def _make_room(self, now: float) -> None:
-        while len(self._held) >= max(2, self._set.max_held):    # what a restart found is tried, in less too
-            lines = [(each.troubled(now), len(each.line), -number) for number, each in
-                     self._destinations.items() if any(map(Document.fresh, each.line))]
-            if not lines:
-                return
+        while len(self._held) >= max(2, self._set.max_held) and (lines := [     # what a restart found is
+                (each.troubled(now), len(each.line), -number) for number, each in   # tried, in less room too
+                self._destinations.items() if any(map(Document.fresh, each.line))]):
             line = self._destinations[-max(lines)[2]].line
             self._finish(min((self._value(now, doc), doc.order, doc) for doc in line if doc.fresh())[2])
 
     # What outcomes teach
 
     def _learn(self, now: float, dest: Destination, call: Call, outcome: our.Outcome) -> None:
-        kind, ep, route = outcome.kind, call.ep, call.ep.route
+        kind, ep, route, usual = outcome.kind, call.ep, call.ep.route, dest.usual(now)
         if outcome.limit:
             route.limit, route.room, route.room_at = outcome.limit, outcome.room or 0.0, now
+            if dest.found and route.equal > 1e9:      # restarted together, with lines: no burst
+                route.share = min(1.0, max(1.0 / self._set.senders, usual / outcome.limit) / 2.0)
+            route.equal = outcome.limit / self._set.senders
         little = kind == FULL or outcome.limit and route.room < LITTLE_ROOM
         if kind == FULL and not route.limit:
             route.limit = max(route.served.rate(now), route.served.rate(now, 2), LEAST_PACE)
-        usual = dest.usual(now)
         own = max(1.0 / self._set.senders, usual / max(route.limit, LEAST_PACE))
         route.refused = 0 if kind == OK else route.refused + (kind == FULL)
         rare = route.refused > 1 and usual * STREAK < 2.0   # nothing served, and few calls to tell
@@ -540,7 +539,7 @@
             if ep.calls and ep.ok_at >= call.sent_at:   # others were served: its connections are taken
                 return
         if kind == FULL:
-            route.meter.credit = self._draw(0.0, 0.9) if rare else 0.0   # the next call a full step later
+            route.meter.credit = self._draw(-0.5, 0.5) if rare else 0.0  # the next call a full step later
         ep.failed_at, ep.streak = ep.failed_at if ep.streak else now, ep.streak + 1
         brief = BRIEF * (outcome.elapsed_ms < TRIAL_MS and kind in (our.ERROR, our.RESET, CONNECT_FAILED))
         ep.failing += (0.1 if brief else 0.2) * (1.0 - ep.failing)
