Hollow senders and the table of walks follow the list's own file

Cause: the list stands in net/listed.py and a listener is told how many may come in at once; the hollow senders and the table of walks still named the old places, and two tests of the fleet's slopes failed. Change: they name the new ones; the table says Listed.apply where it said Node._listed.

--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -54,7 +54,7 @@
     def folder(self, path: str) -> MemoryFolder:
         return MemoryFolder(self.disk)
 
-    async def listen(self, loop, where, protocol, shared=True) -> NoDoor:
+    async def listen(self, loop, where, protocol, *how) -> NoDoor:
         return NoDoor()
 
     def knocked(self, server: NoDoor) -> bool:
@@ -86,7 +86,7 @@
         """Endpoints listed, those that the decisions hold, the version; its digest where a trail is kept."""
         figures = dict(self._witness.figures()) if self._witness else {}
         digest = figures.get("list_digest", "-")
-        return len(self._entries), len(self._core._endpoints), self._watch._version, digest
+        return len(self._list.entries), len(self._core._endpoints), self._watch._version, digest
 
     def end(self) -> None:
         """At once: its watch ends, and nothing of it happens any more."""
--- a/benchmarks/capacity/turn.py
+++ b/benchmarks/capacity/turn.py
@@ -215,8 +215,8 @@
         raw = {"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f",
                "state": "/", "limits": {"disk_mb": 100_000}, "settings": stand.settings()}
         self.node = Node(decode(raw, {}), self.loop, InMemory())
-        self.node._entries, self.node._ledger.owed = work.dictionary(), work.dictionary()
-        self.node._destinations, self.node._answers = work.dictionary(), work.dictionary()
+        self.node._list.entries, self.node._ledger.owed = work.dictionary(), work.dictionary()
+        self.node._list._destinations, self.node._answers = work.dictionary(), work.dictionary()
         self.spare = listed
         self.node._listed(our.WHOLE, [(endpoint(each), ("127.0.0.1", 3)) for each in range(1, listed + 1)])
         self.node._turn()
--- a/tests/test_capacity_sender.py
+++ b/tests/test_capacity_sender.py
@@ -56,7 +56,7 @@
     "notices": {"node: notices answered": {"net/notices.py Notices._send": 1}},
     "idle": {"node: a connection": {"net/calls.py Calls._newest": 1}},
     "list": {"node: a list read": {"net/discovery.py Watch.received": 2, "net/discovery.py entries": 1,
-                                   "net/sender.py Node._listed": 1}},
+                                   "net/listed.py Listed.apply": 1}},
 }
 
 
