--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -10,6 +10,7 @@
 
 import argparse
 import importlib
+import os
 import sys
 from pathlib import Path
 from types import ModuleType
@@ -37,9 +38,12 @@
 
 def run(name: str, small: bool) -> dict:
     module = slope(name)
+    load = os.getloadavg()[0]
     rows = module.measure(module.SMALL if small else module.POINTS)
     command = f"python -m benchmarks.capacity {name}{' --small' if small else ''}"
     told = record.record(name, module.FIGURES, rows, command)
+    # Processes that ran, before and after: what runs beside it stretches its times, and its CPU somewhat
+    told["load"] = [round(load, 1), round(os.getloadavg()[0], 1)]
     if hasattr(module, "notes"):            # what is no figure of a line
         told["notes"] = module.notes(module.SMALL if small else module.POINTS)
     return told
