--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -2,13 +2,15 @@
 
 Measures the slopes named, or all. At full size each record is written to docs/capacity/NAME.json; with
 --small (few and small points, seconds) only to FILE, if one is named. A slope's module has NAME, FIGURES
-{figure: unit}, POINTS and SMALL (what measure takes), and measure(points) -> list of (x, {figure: value}).
+{figure: unit}, POINTS and SMALL (what measure takes), and measure(points) -> list of (x, {figure: value}); it
+may have notes(points), for what is no line.
 """
 
 from __future__ import annotations
 
 import argparse
 import importlib
+import os
 import sys
 from pathlib import Path
 from types import ModuleType
@@ -45,9 +47,15 @@
 
 def run(name: str, small: bool) -> dict:
     module = slope(name)
+    load = os.getloadavg()[0]
     rows = module.measure(module.SMALL if small else module.POINTS)
     command = f"python -m benchmarks.capacity {name}{' --small' if small else ''}"
-    return record.record(name, module.FIGURES, rows, command)
+    told = record.record(name, module.FIGURES, rows, command)
+    # Processes that ran, before and after: what runs beside it stretches its times, and its CPU somewhat
+    told["load"] = [round(load, 1), round(os.getloadavg()[0], 1)]
+    if hasattr(module, "notes"):            # what is no figure of a line
+        told["notes"] = module.notes(module.SMALL if small else module.POINTS)
+    return told
 
 
 def main(words: list[str]) -> int:
