--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -5,6 +5,10 @@
 fleet's witness and its records. What is not: the listening sockets (none), the folder (in memory), signals.
 A hollow one has no client, so it opens no connection to an endpoint either.
 
+Traffic, list handling and memory for each endpoint listed are a real one's (tests/test_capacity_fleet.py).
+Its processor time is not: what wakes a process is shared by all in it, so the more they are the less each
+seems to take.
+
     python -m benchmarks.capacity.hollow LIST-SERVICE [--fleet] [--senders OF-THE-FLEET]
 
 speaks JSON lines: {"start": N} starts N more, {"stop": N} ends the N oldest, {"report": 0} answers what
--- a/benchmarks/capacity/lists.py
+++ b/benchmarks/capacity/lists.py
@@ -4,7 +4,8 @@
 x: senders. In turn: all start at once without a list; nothing happens; one endpoint changes; 100 do; 50
 senders start beside the rest; the service ends every watch. The list is short (LISTED endpoints), so that
 550 senders fit; what its length costs is the slope `list-size`. Times hold for this machine, which plays
-all senders on some cores.
+all senders on some cores. Processor time of a sender is a lower bound (see hollow.py); that of the service
+is its own.
 """
 
 from __future__ import annotations
