What a process that waits took on is taken up by the holder where it ends first

Cause: the file of a second process was read only at the next start or hand-over. Ended before the first, its documents lay there past their time; a third process with the same seed emptied the file; a first one told to end meanwhile handed over to nobody. A waiting process told to end waited 2.9 s for documents that it may not send. A process that took the folder over took up, and removed, the file and bodies of a third that still waited. Where a disk failed at just the removal of a file that was taken up, a later start took its documents up again and sent what had ended. Bodies of a process that waits were numbered from the highest body there was, so that two could meet after an idle moment.

Change: each process that waits has a name of its own and holds a lock beside its file. The holder looks once a second for files whose lock is free, notes their documents with 'took' and removes them; until a file is gone, every rewriting of the folder's own file says that it was taken up.

Stories: tests/test_ledger.py (4), tests/test_operators.py (2, real processes). Seen to fail by hand: took not kept (2 fail), live ones too (1), never adopted (2), waits for owed (1), bodies of others removed (1), awaited by the dead (1), numbers from 0 (3), adopted without lines (1).

--- a/birchstack/emulator/folder.py
+++ b/birchstack/emulator/folder.py
@@ -65,6 +65,9 @@
         """One process at a time lives on a disk here."""
         return True
 
+    def unlock(self, name: str) -> None:
+        """Nothing was locked."""
+
     def read(self, name: str) -> bytes:
         try:
             return bytes(self._disk.files[name])
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -17,8 +17,8 @@
 from birchstack.net.machine import Folder
 
 FILE = "ledger"
-WAITING = "ledger-next-"        # the file of a process that waits while another holds the folder
-APART = 1 << 32                 # its bodies are numbered so far above all there are
+WAITING, LOCKED = "ledger-next-", ".lock"   # the file of a process that waits while another holds the
+APART = 1 << 32                 # folder, and what tells that it lives; its bodies are numbered from here on
 BLOCK = 512
 LINE = 512                      # room kept for what is still to be written of one document
 GROWN = 131072                  # the file is written anew when it is so long and mostly past
@@ -47,6 +47,13 @@
     doubt: list[tuple[str, float]] = field(default_factory=list)    # of those that may have run
     notice: tuple[str, float] | None = None     # result and wait to tell, owed until it is acknowledged
 
+    def came_back(self, doubt: int, failed: int) -> None:
+        if self.out is None:
+            self.sent += 1              # it was not written, and counts all the same
+        elif doubt:
+            self.doubt.append(self.out)
+        self.failed, self.out = self.failed + bool(failed), None
+
 
 def blocks(size: int) -> int:
     return -(-size // BLOCK) * BLOCK
@@ -56,22 +63,25 @@
     """owed is the truth of the moment, in the order taken; every change is on disk before it returns."""
 
     def __init__(self, folder: Folder, limit: int, waiting: str = "") -> None:
-        """waiting: the name that sets this process apart, where another process holds the folder and sends.
+        """waiting: where another process holds the folder and sends, a name in hexadecimal digits that no
+        other process ever had.
 
         A process that waits writes its own file and bodies, in a quarter of the room, and reads nothing of
-        the other's. The process that holds the folder takes up at its start the files of all that waited, as
-        its own. Guards against two processes that send the same documents, or write one file. May hurt where
-        the one that holds the folder fills it: the quarter is not kept free for the one that waits."""
+        the other's. The process that holds the folder takes up the files of all that waited and have ended,
+        as its own: at its start, and by adopt() while it runs. Guards against two processes that send the
+        same documents, or write one file, and against documents left by one that ended before the holder. May
+        hurt where the holder fills the folder: the quarter is not kept free for the one that waits."""
         self._folder, self._limit = folder, limit - 4 * 4096    # the folder itself may count
         self.owed: dict[str, Owed] = {}
         self.ended: dict[str, None] = {}        # ended before the start; the file still told of them
         self.waits: dict[str, float] = {}       # by endpoint, until when it told to wait, by the wall clock
+        self._theirs: dict[str, bool] = {}      # files that were taken up; whether this one's says so
         self._bodies = self._size = self._next = 0
         self._file, self._name = -1, FILE
         if waiting:
             self._name, self._limit = WAITING + waiting, self._limit // 4
-            numbers = [each[5:] for each in folder.names() if each.startswith("body-")]
-            self._next = max((int(each) for each in numbers if each.isdecimal()), default=0) + APART
+            self._next = APART + int(waiting, 16)
+            folder.lock(self._name + LOCKED)    # before there is a file that could be taken up
             self._file = folder.open(self._name, fresh=True)
         else:
             self._recover()
@@ -111,7 +121,7 @@
         One that was not written has a record of its own: where a full disk lost the one of a call before it,
         that call stays in doubt, and its window and zone bind."""
         words = ["back", owed.id, int(doubt), int(failed)] if owed.out else ["kept", owed.id, int(failed)]
-        self._came_back(owed, doubt, failed)
+        owed.came_back(doubt, failed)
         self._note(words)
         self._tidy()
 
@@ -139,19 +149,62 @@
 
     def close(self) -> None:
         self._folder.close(self._file)
+        if self._name != FILE:
+            self._folder.unlock(self._name + LOCKED)
+
+    def awaited(self) -> bool:
+        """True if another process waits for this one to end."""
+        return any(not ended for ended in self._waited().values())
+
+    def adopt(self) -> list[Owed]:
+        """Takes up what processes that waited left when they ended before this one. Returns the documents
+        that are new here; a file that could not be taken up whole is tried again by the next call."""
+        found = []
+        for name in [name for name, ended in self._waited().items() if ended and name not in self._theirs]:
+            try:
+                left = Replayed(self._folder.read(name))
+                fresh = [owed for each, owed in left.owed.items()
+                         if each not in self.owed and each not in self.ended]
+                lines = [words for owed in fresh for words in self._lines_of(owed)]
+                self._append(*lines, ["took", name])
+            except OSError as problem:
+                say(log, "not taken up", logging.ERROR, file=name, problem=problem)
+                continue
+            self._theirs[name] = True
+            for owed in fresh:
+                owed.found = True
+                self._load(owed)
+                self.owed[owed.id] = owed
+            found += fresh
+            say(log, "taken up", file=name, owed=len(fresh))
+        self._remove()
+        return found
+
+    def _waited(self) -> dict[str, bool]:
+        """The files of processes that wait or waited, and whether each has ended. One without its lock is of
+        a version that had none: it counts as ended only once it does not hold the folder."""
+        with contextlib.suppress(OSError):
+            names = self._folder.names()
+            return {name: self._folder.lock(name + LOCKED) for name in sorted(names)
+                    if name.startswith(WAITING) and "." not in name
+                    and (self._file < 0 or name + LOCKED in names)}
+        return {}
+
+    def _remove(self) -> None:
+        """Removes the files that were taken up. One that cannot be removed is told of in this one, so that
+        no later start takes its documents up again."""
+        if not all(self._theirs.values()):
+            self.compact()
+        for name in [name for name, told in self._theirs.items() if told]:
+            with contextlib.suppress(OSError):
+                self._folder.unlink(name)
+                del self._theirs[name]
+                self._folder.unlock(name + LOCKED)
 
     def _tidy(self) -> None:
         if self._size > max(GROWN, 2 * LINE * len(self.owed)):
             self.compact()
 
-    @staticmethod
-    def _came_back(owed: Owed, doubt: int, failed: int) -> None:
-        if owed.out is None:
-            owed.sent += 1              # it was not written, and counts all the same
-        elif doubt:
-            owed.doubt.append(owed.out)
-        owed.failed, owed.out = owed.failed + bool(failed), None
-
     # On disk
 
     def _body(self, owed: Owed) -> str:
@@ -177,8 +230,8 @@
         return ["take", owed.id, owed.type, owed.destination, owed.key, owed.expiry, owed.number, owed.size,
                 *([owed.repeat_key] if owed.repeat_key else [])]
 
-    def _append(self, words: list) -> None:
-        line = self._line(words)
+    def _append(self, *lines: list) -> None:
+        line = b"".join(map(self._line, lines))
         written = self._folder.append(self._file, line)
         self._size += written
         if written < len(line):
@@ -200,6 +253,7 @@
         """Writes the file anew with only what is owed; until the new one has its name the old one counts."""
         lines = [words for owed in self.owed.values() for words in self._lines_of(owed)]
         lines += [["wait", name, until] for name, until in self.waits.items()]
+        lines += [["took", name] for name in self._theirs]
         text = b"".join(map(self._line, lines))
         fresh = -1
         try:
@@ -215,45 +269,84 @@
             return False
         self._folder.close(self._file)
         self._file, self._size = fresh, len(text)
+        self._theirs = dict.fromkeys(self._theirs, True)
         return True
 
     # At the start
 
     def _recover(self) -> None:
         """Those that waited first: where the folder's own file has their lines too, it was written later."""
-        waited = sorted(name for name in self._folder.names() if name.startswith(WAITING) and "." not in name)
-        lines = []
-        for name in [*waited, FILE]:
-            with contextlib.suppress(FileNotFoundError):
-                lines += self._folder.read(name).split(b"\n")
-        torn = 0
-        for line in filter(None, lines):
-            try:
-                if int(line[:8], 16) != zlib.crc32(line[9:]):
-                    raise ValueError("sum")
-                self._replay(*json.loads(line[9:]))
-            except (ValueError, TypeError, KeyError):
-                torn += 1               # a record that was being written at the end, or a broken disk
+        own, waited = b"", self._waited()
+        with contextlib.suppress(FileNotFoundError):
+            own = self._folder.read(FILE)
+        taken = Replayed(own).took if waited else ()
+        self._theirs = {name: name in taken for name, ended in waited.items() if ended}
+        texts = [self._folder.read(name) for name, told in self._theirs.items() if not told]
+        past = Replayed(b"\n".join([*texts, own]))
+        self.owed, self.ended, self.waits, self._next = past.owed, past.ended, past.waits, past.next
         for owed in self.owed.values():
             owed.found = True
             if owed.out:
                 owed.doubt.append(owed.out)     # it may have run, and its outcome will not come
                 owed.out = None
-        self._load_bodies()
+            self._load(owed)
+        self._clear(not all(waited.values()))
         self._file = self._folder.open(FILE)
-        for name in waited if self.compact() else []:     # theirs is in the folder's own file now
-            with contextlib.suppress(OSError):
-                self._folder.unlink(name)
-        if lines:
-            say(log, "recovered", owed=len(self.owed), torn=torn)
+        self._remove()
+        if own or texts:
+            say(log, "recovered", owed=len(self.owed), torn=past.torn)
+
+    def _load(self, owed: Owed) -> None:
+        if owed.notice:
+            owed.size = 0
+        if not owed.size:
+            return
+        with contextlib.suppress(OSError):
+            owed.body = self._folder.read(self._body(owed))
+        if len(owed.body) == owed.size:
+            self._bodies += blocks(owed.size)
+        else:                           # cannot be sent any more: its end is still owed
+            say(log, "body lost", logging.ERROR, doc=owed.id)
+            owed.size, owed.body, owed.notice = 0, b"", ("dead", 0.0)
+
+    def _clear(self, others: bool) -> None:
+        """Removes what belongs to no document; where another process waits, nothing that may be its own."""
+        wanted = {self._body(owed) for owed in self.owed.values() if owed.size}
+        for name in self._folder.names():
+            number = name[5:] if name.startswith("body-") else ""
+            apart = others and number.isdecimal() and int(number) >= APART
+            if number and name not in wanted and not apart or name.endswith(".new"):
+                with contextlib.suppress(OSError):
+                    self._folder.unlink(name)
+
+
+class Replayed:
+    """What the lines of a file lead to."""
+
+    def __init__(self, text: bytes) -> None:
+        self.owed: dict[str, Owed] = {}
+        self.ended: dict[str, None] = {}
+        self.waits: dict[str, float] = {}
+        self.took: set[str] = set()     # files of processes that waited: their documents are here
+        self.next = self.torn = 0       # after the last body's number; lines that cannot be read
+        for line in filter(None, text.split(b"\n")):
+            try:
+                if int(line[:8], 16) != zlib.crc32(line[9:]):
+                    raise ValueError("sum")
+                self._replay(*json.loads(line[9:]))
+            except (ValueError, TypeError, KeyError):
+                self.torn += 1          # a record that was being written at the end, or a broken disk
 
     def _replay(self, what: str, doc_id: str, *words) -> None:
         if what == "wait":              # of an endpoint, not a document
             self.waits[doc_id] = max(float(words[0]), self.waits.pop(doc_id, 0.0))
             return
+        if what == "took":              # nor this
+            self.took.add(doc_id)
+            return
         if what == "take":
             self.owed[doc_id] = Owed(doc_id, *words)
-            self._next = max(self._next, self.owed[doc_id].number + 1)
+            self.next = max(self.next, self.owed[doc_id].number + 1)
             return
         owed = self.owed[doc_id]
         if what == "call":
@@ -263,7 +356,7 @@
         elif what == "kept":
             owed.sent, owed.failed = owed.sent + 1, owed.failed + words[0]
         elif what == "back":
-            self._came_back(owed, *words)
+            owed.came_back(*words)
         elif what == "past":
             owed.sent, owed.failed, out, doubt = words
             owed.out, owed.doubt = tuple(out) if out else None, [(zone, when) for zone, when in doubt]
@@ -272,25 +365,3 @@
         elif what == "done":
             del self.owed[doc_id]
             self.ended[doc_id] = None
-
-    def _load_bodies(self) -> None:
-        wanted = set()
-        for owed in self.owed.values():
-            if owed.notice:
-                owed.size = 0
-            if not owed.size:
-                continue
-            try:
-                owed.body = self._folder.read(self._body(owed))
-            except OSError:
-                owed.body = b""
-            if len(owed.body) == owed.size:
-                wanted.add(self._body(owed))
-                self._bodies += blocks(owed.size)
-            else:                       # cannot be sent any more: its end is still owed
-                say(log, "body lost", logging.ERROR, doc=owed.id)
-                owed.size, owed.body, owed.notice = 0, b"", ("dead", 0.0)
-        for name in self._folder.names():
-            if name.startswith("body-") and name not in wanted or name.endswith(".new"):
-                with contextlib.suppress(OSError):
-                    self._folder.unlink(name)
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -27,11 +27,13 @@
 
     def __init__(self, path: str) -> None:
         self._path = path
-        self._locks: list[int] = []
+        self._locks: dict[str, int] = {}
 
     def lock(self, name: str) -> bool:
         """True if this process holds the lock of that name from now until it ends; False while another does.
         Where the system has no such locks, every process holds it, as if it were alone."""
+        if name in self._locks:
+            return True
         handle = os.open(self._at(name), os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -39,9 +41,14 @@
             if problem.errno in (errno.EWOULDBLOCK, errno.EAGAIN):
                 os.close(handle)
                 return False
-        self._locks.append(handle)      # the lock ends with the process, however it ends
+        self._locks[name] = handle      # the lock ends with the process, however it ends
         return True
 
+    def unlock(self, name: str) -> None:
+        """Gives a lock back that this process holds, and removes its file: no other may come to need it."""
+        os.close(self._locks.pop(name))
+        self.unlink(name)
+
     def _at(self, name: str) -> str:
         return os.path.join(self._path, name)
 
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -19,7 +19,7 @@
 from birchstack.net.config import Config, ConfigError, fits, load
 from birchstack.net.discovery import Watch
 from birchstack.net.front import ABANDONED, CLOSED, REJECTED, TAKEN, Front, Handed
-from birchstack.net.ledger import WAITING, Ledger
+from birchstack.net.ledger import Ledger, Owed
 from birchstack.net.log import broken, holds, say
 from birchstack.net.machine import LastingClock, Machine
 from birchstack.net.notices import Notices
@@ -34,7 +34,7 @@
 CLIENTS_SHARE, OTHERS = 40, 64  # of the descriptors, in hundredths; and what is no client and no call
 RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds", "version")  # at SIGHUP
 REMEMBERED = 4096               # answers kept for ids that come again
-LOCK, LOOK_S = "lock", 0.05     # held by the process that sends from the folder; asked for so often meanwhile
+LOCK, LOOK_S, LAX = "lock", 0.05, 20    # held by the process that sends from the folder; asked for so often
 log = logging.getLogger(__name__)
 
 
@@ -49,7 +49,7 @@
         self._lasting = LastingClock(self._machine, folder)
         self._core = Sender(config.settings, config.seed, self)
         self._holds = folder.lock(LOCK)         # else another process of this sender holds it, and sends
-        self._ledger = Ledger(folder, config.disk_bytes, "" if self._holds else f"{config.seed:x}")
+        self._ledger = Ledger(folder, config.disk_bytes, "" if self._holds else self._machine.unique())
         clients = config.sockets * CLIENTS_SHARE // 100
         idle = max(8, config.sockets - clients - OTHERS - config.settings.slots)
         self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, idle, self._up,
@@ -96,21 +96,20 @@
             self._witness.settings(self._config, "start")
         self._watch.start(self._config.known)
         await self._watch.first()
-        self._take_up()
+        self._take_up(self._ledger.owed)
         self._turn()
         await self._front.open(self._machine, self._config.listen)
         self._look_for_overdue()
         self._loop.call_later(REPORT_S, self._report)
         self._ready = True
-        if not self._holds:
-            self._loop.call_later(LOOK_S, self._wait_for_the_folder)
+        self._loop.call_later(LOOK_S, self._look_at_the_folder)
         say(log, "ready", name=self._config.name, owed=len(self._ledger.owed), endpoints=len(self._entries),
             holds=self._holds)
 
-    def _take_up(self) -> None:
-        """What the folder owes goes to the decisions."""
+    def _take_up(self, found: dict[str, Owed]) -> None:
+        """What the folder owes, found by id, goes to the decisions."""
         now, wall = self.clock(), self._lasting.ms()
-        self._answers.update({doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *self._ledger.owed)})
+        self._answers.update({doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *found)})
         while len(self._answers) > REMEMBERED:
             del self._answers[next(iter(self._answers))]
         back = self._by_hand.back
@@ -119,7 +118,7 @@
             back_ms = wall - back.get(name, wall + 1.0)
             if wait_ms > 0.0 or back_ms >= 0.0:
                 self._inbox.append((self._core.recall, name, max(0.0, wait_ms), back_ms))
-        for owed in [*self._ledger.owed.values()]:
+        for owed in [*found.values()]:
             owed.due = now + owed.expiry - wall
             if owed.notice:
                 self._notices.tell(owed.id, *owed.notice)
@@ -132,17 +131,21 @@
             self._inbox.append((self._core.document, owed.id, owed.destination, owed.type,
                                 owed.expiry - wall, owed.key, past))
 
-    def _wait_for_the_folder(self) -> None:
+    def _look_at_the_folder(self) -> None:
         """Another process of this sender holds the folder: this one takes documents on and sends nothing.
 
         Guards against two processes that send one document, or keep two views of one endpoint's limits, while
-        one replaces the other (an upgrade). When the other has ended, however it ended, the lock is free: its
-        file and this one's are taken up as after a restart, by decisions that start anew with the lists seen
-        meanwhile. Also covers a start beside a process that hangs. May hurt: what comes meanwhile waits until
-        the other ends, up to its last call's patience."""
-        if self._closing_at is not None or not self._folder.lock(LOCK):
-            if self._closing_at is None:
-                self._loop.call_later(LOOK_S, self._wait_for_the_folder)
+        one replaces the other (an upgrade), and covers a start beside a process that hangs. When the other
+        has ended, however it ended, the lock is free: its file and this one's are taken up as after a
+        restart, by decisions that start anew with the lists seen meanwhile. Where the one that waits ends
+        first, the one that holds takes its file up. May hurt: what comes meanwhile waits until then."""
+        if self._closing_at is not None:
+            return
+        self._loop.call_later(LOOK_S * (LAX if self._holds else 1), self._look_at_the_folder)
+        if self._holds and (found := self._ledger.adopt()):
+            self._take_up({owed.id: owed for owed in found})
+            self._soon()
+        if self._holds or not self._folder.lock(LOCK):
             return
         self._turn()                            # what came so far, under the file of the wait
         self._ledger.close()
@@ -155,7 +158,7 @@
             told = [self._by_hand.as_told(entry) for entry in listed]
             self._inbox.append((self._core.endpoints, mode, told))
         self._unheard.clear()
-        self._take_up()
+        self._take_up(self._ledger.owed)
         say(log, "holds the folder", owed=len(self._ledger.owed))
         self._soon()
 
@@ -499,19 +502,16 @@
         if self._closing_at is not None:
             return
         self._closing_at = self._loop.time()
-        try:
-            self._handing = self._holds and any(name.startswith(WAITING) for name in self._folder.names())
-        except OSError:
-            self._handing = False
+        self._handing = self._holds and self._ledger.awaited()
         say(log, "closing", owed=len(self._ledger.owed), out=len(self._calls), handing=self._handing)
         self._front.close()
         self._loop.call_later(0.0 if self._handing else LISTEN_S, self._front.shut)
         self._loop.call_later(0.0 if self._handing else LISTEN_S, self._maybe_over)
 
     def _maybe_over(self) -> None:
-        """Another process that waits gets what is held at once: only calls out and clients are waited for."""
+        """Another process gets what is held at once: only calls out and clients are waited for."""
         past = self._loop.time() - self._closing_at
-        if self._handing:
+        if self._handing or not self._holds:
             busy = len(self._calls) or len(self._front)
         else:
             busy = self._front.busy() or (self._ledger.owed if past < CALL_S else
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -148,3 +148,75 @@
     assert not [name for name in os.listdir(tmp_path) if name.startswith("ledger-next")]
     after.compact()
     assert Ledger(folder, 3_000_000).waits == {"s-1": 5000.0}
+
+
+def killed(folder):
+    """The process of this folder ends: its locks are free."""
+    for handle in folder._locks.values():
+        os.close(handle)
+
+
+def waiting(path, name, doc_id):
+    """A process that waits, with one document. Returns its ledger and what ends it as a kill would."""
+    folder = Folder(str(path))
+    ledger = Ledger(folder, 3_000_000, waiting=name)
+    take(ledger, doc_id, doc_id.encode())
+
+    return ledger, lambda: killed(folder)
+
+
+def left(path):
+    return sorted(name for name in os.listdir(path) if not name.startswith("body-"))
+
+
+def test_what_a_process_that_waited_left_is_taken_up_by_the_one_that_holds_once_it_has_ended(tmp_path):
+    holder = Ledger(Folder(str(tmp_path)), 3_000_000)
+    take(holder, "old")
+    _, first_ends = waiting(tmp_path, "beef", "new")
+    second, _ = waiting(tmp_path, "cafe", "newer")      # has a file and bodies of its own
+    assert holder.adopt() == [] and holder.awaited()    # both live
+    first_ends()
+    assert [(owed.id, owed.body, owed.found) for owed in holder.adopt()] == [("new", b"new", True)]
+    assert holder.adopt() == [] and [*holder.owed] == ["old", "new"] and holder.awaited()
+    assert left(tmp_path) == ["ledger", "ledger-next-cafe", "ledger-next-cafe.lock"]
+    holder.done(holder.owed["new"])
+    after = Ledger(Folder(str(tmp_path)), 3_000_000)    # another takes the folder over, and cafe still waits
+    assert [*after.owed] == ["old"] and after.awaited()
+    second.close()
+    last = Ledger(Folder(str(tmp_path)), 3_000_000)
+    assert last.owed["newer"].body == b"newer" and left(tmp_path) == ["ledger"]
+
+
+@pytest.mark.parametrize("taken_up", ["while it runs", "at its start"])
+def test_a_file_that_was_taken_up_and_cannot_be_removed_is_not_taken_up_again(
+        tmp_path, monkeypatch, taken_up):
+    folder, unlink = Folder(str(tmp_path)), os.unlink
+    holder = Ledger(folder, 3_000_000)
+    waiting(tmp_path, "beef", "new")[1]()
+
+    def fails(path):
+        if "ledger-next" in str(path):
+            raise OSError("the disk fails")
+        unlink(path)
+    monkeypatch.setattr(module.os, "unlink", fails)
+    if taken_up == "while it runs":
+        assert len(holder.adopt()) == 1
+    else:
+        holder = Ledger(folder, 3_000_000)
+    holder.call(holder.owed["new"], "az", 100.0)
+    holder.done(holder.owed["new"])
+    assert holder.compact() and holder.adopt() == [] and "ledger-next-beef" in left(tmp_path)
+    monkeypatch.setattr(module.os, "unlink", unlink)    # and is whole again
+    killed(folder)
+    for _ in range(2):
+        assert not Ledger(Folder(str(tmp_path)), 3_000_000).owed and left(tmp_path) == ["ledger"]
+
+
+def test_a_file_that_cannot_be_taken_up_on_a_full_disk_is_taken_up_later(tmp_path, monkeypatch):
+    holder, write = Ledger(Folder(str(tmp_path)), 3_000_000), os.write
+    waiting(tmp_path, "beef", "new")[1]()
+    monkeypatch.setattr(module.os, "write", lambda handle, data: write(handle, data[:-3]))
+    assert holder.adopt() == [] and not holder.owed and not holder.awaited()
+    monkeypatch.setattr(module.os, "write", write)
+    assert [owed.id for owed in holder.adopt()] == ["new"]
+    assert [*Ledger(Folder(str(tmp_path)), 3_000_000).owed] == ["new"]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -151,7 +151,7 @@
         node._ledger.close()
         node._ledger = Ledger(node._folder, 3_000_000)
         node._listed(our.WHOLE, [listed("e1", our.READY, 9)])
-        node._take_up()
+        node._take_up(node._ledger.owed)
         turn, gone = node._core.turn, []
         node._core.turn = lambda now: (turn(now), time.sleep(0.4))      # many documents, little processor
         node._calls.begin = node._calls.waiting = lambda call: True
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 
+import pytest
 from fake import OK_200, World, answer, post, read_message
 
 
@@ -114,6 +115,28 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_what_a_process_that_waits_took_on_is_sent_by_the_other_where_it_ends_first(tmp_path, number):
+    async def story(world):
+        second, _ = await world.beside()
+        names = [f"d{each}" for each in range(24)]      # some to each of the two
+        for name in names:
+            assert (await world.hand_in(name, left=9000))[0] == 202
+        held = [path.read_text().count('["take"') for path in world.folder.glob("ledger-next-*")
+                if path.suffix != ".lock"]
+        assert held and held[0] and await world.until(lambda: len(world.calls) == len(names) - held[0])
+        second.send_signal(number)
+        assert await asyncio.wait_for(second.wait(), 2.5) == (0 if number == signal.SIGTERM else -number)
+        assert await world.until(lambda: len(world.calls) == len(names))
+        assert sorted(doc for doc, _, _ in world.calls) == sorted(names) and not world.notices
+        assert await world.until(lambda: not [*world.folder.glob("ledger-next-*")])
+        first = world.process                           # nobody waits: it finishes what it has
+        first.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(first.wait(), 4.0) == 0
+        assert "handing=True" not in world.log()
+    play(tmp_path, story)
+
+
 # Figures
 
 def figures(text):
