--- a/benchmarks/restart_ready.py
+++ b/benchmarks/restart_ready.py
@@ -206,7 +206,8 @@
                 process = await asyncio.create_subprocess_exec(
                     sys.executable, __file__, "inside", env={**env, "PYTHONPATH": os.getcwd()},
                     stderr=subprocess.DEVNULL)
-                await asyncio.wait_for(process.wait(), WITHIN_S)
+                if await asyncio.wait_for(process.wait(), WITHIN_S):
+                    raise SystemExit("the start failed")
         print(f"{owed} owed")
         asyncio.run(play())
 
@@ -237,7 +238,9 @@
 
     from birchstack.net import config, discovery, front, ledger, machine, sender
     imported = time.process_time()
-    ledger.Ledger._load_bodies = clock("bodies read, others looked for", ledger.Ledger._load_bodies)
+    ledger.Ledger._load = clock("bodies read", ledger.Ledger._load)
+    ledger.Ledger._clear = clock("other files looked for", ledger.Ledger._clear)
+    ledger.Replayed.__init__ = clock("lines replayed", ledger.Replayed.__init__)
     ledger.Ledger.__init__ = clock("ledger in all", ledger.Ledger.__init__)
     discovery.Watch.first = clock("first list", discovery.Watch.first, waits=True)
     sender.Node._take_up = clock("take up", sender.Node._take_up)
