--- a/benchmarks/capacity/turn.py
+++ b/benchmarks/capacity/turn.py
@@ -283,7 +283,8 @@
 
 
 def read(listed: int, block: int = 4096) -> Callable[[], None]:
-    """A list of so many is read from the watch, a block of bytes at a time."""
+    """A list of so many is read from the watch, a block of bytes at a time: less than the 64 KiB that come at
+    once, so that short lists show what long ones do. Its CPU is more than a sender's for that."""
     node = Whole().node
     text = stand.text(9, True, stand.whole_list(listed, 1, ["127.0.7.1:23000"]))
     told = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(text), text)
