--- a/birchstack/emulator/judge.py
+++ b/birchstack/emulator/judge.py
@@ -309,7 +309,7 @@
                 self.breach(
                     "2 effects", now, doc, f"sent again though the call at {call.endpoint} may have run"
                 )
-            elif doc.type.effect == "numbered" and now > call.at + doc.type.window_ms + 1000.0:
+            elif doc.type.effect == "numbered" and now > call.at + doc.type.window_ms + ALLOWED_MS:
                 self.breach(
                     "2 window", now, doc, f"sent again {now - call.at:.0f} ms after one that may have run"
                 )
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from birchstack import decide, settings
+from birchstack import decide, settings, state
 from birchstack import interface as our
 from birchstack.emulator.scenario import KINDS, DocumentType, Scenario, SenderSide, draw
 from birchstack.emulator.virtual import play
@@ -26,6 +26,9 @@
 KEYED = msgspec.structs.replace(DAY, types=(
     DocumentType(name="sync", effect="replayable"),
     DocumentType(name="turn", effect="replayable", in_order=True, keys=4)))
+BRIEF = msgspec.structs.replace(DAY, types=(
+    DocumentType(name="sync", effect="replayable"),
+    DocumentType(name="stock", effect="numbered", window_ms=1000.0)))
 MUTANTS = {}
 
 
@@ -103,6 +106,11 @@
     patch.set(decide, "NEVER_RAN", (*decide.NEVER_RAN, our.RESET))
 
 
+@mutant("the window for repeats is off", BRIEF)
+def _(patch):
+    patch.set(state.Document, "known_until", lambda self: float("inf"))
+
+
 @mutant("the window of a destination is off", TIGHT)
 def _(patch):
     for name in ("window", "half"):
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -257,6 +257,18 @@
     assert any("call at e1" in line for line in doc.lines) and any("try 2" in line for line in doc.lines)
 
 
+@pytest.mark.parametrize(("late", "broken"), [(40.0, []), (60.0, ["2 window"])])
+def test_the_judge_holds_a_repeat_to_its_window_and_the_wires_slack(late, broken):
+    judge = Judge(SHORT)
+    judge.started(0.0, 0)
+    kind = next(kind for kind in SHORT.types if kind.effect == "numbered")
+    doc = judge.handed(10.0, 0, "d1", kind, 0, None, 19000.0, b"x", 1)
+    judge.answered(11.0, doc, 202)
+    judge.let_go(2020.0, judge.call(20.0, 0, "d1", "e1", 0, b"x"))
+    judge.call(20.0 + kind.window_ms + late, 0, "d1", "e2", 0, b"x")
+    assert [breach.rule for breach in judge.breaches] == broken
+
+
 @pytest.mark.parametrize(("repeats", "broken"), [(70, False), (150, True)])
 def test_the_judge_bounds_repeats_over_the_day(repeats, broken):
     judge = Judge(SHORT)
