--- a/birchstack/emulator/destinations.py
+++ b/birchstack/emulator/destinations.py
@@ -117,6 +117,12 @@
         self._free.clear()
 
 
+def most_calls(allowed: float) -> float:
+    """The most calls that a cold destination bears in its time, of which so many are allowed; chance brings
+    two roots more, and two."""
+    return allowed + 2.0 * allowed**0.5 + 2.0
+
+
 @dataclass(slots=True)
 class Push:
     """A destination fell over: who pushed, among the calls of the last span."""
--- a/birchstack/emulator/scenario.py
+++ b/birchstack/emulator/scenario.py
@@ -119,6 +119,7 @@
     returns: Annotated[int, Meta(ge=0)] = 3  # times that a document is handed in again
     again_ms: Above = 500.0  # after a rejection that told no time
     sizes: tuple[Count, Count] = (100, 2000)
+    uneven: NotBelow = 0.0  # sigma of the lognormal parts of the senders in the documents; 0: equal parts
 
 
 class SenderSide(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/birchstack/emulator/world.py
+++ b/birchstack/emulator/world.py
@@ -118,6 +118,10 @@
         total = sum(group.weight for group in self._groups)
         self._up_to = list(accumulate(group.weight for group in self._groups))
         self._kinds_up_to = list(accumulate(kind.share for kind in self.scenario.types))
+        parts, uneven = random.Random(f"parts {self._seed}"), self.scenario.clients.uneven
+        self._senders_up_to = [] if not uneven else list(
+            accumulate(parts.lognormvariate(0.0, uneven) for _ in range(self.scenario.senders))
+        )
         return [self.scenario.clients.per_second * group.weight / total for group in self._groups]
 
     # Addresses: each sender reaches every other party at addresses of its own
@@ -232,7 +236,7 @@
         kinds, up_to = self._kinds_up_to, self._up_to
         kind = self.scenario.types[min(bisect(kinds, chance.random() * kinds[-1]), len(kinds) - 1)]
         destination = min(bisect(up_to, chance.random() * up_to[-1]), len(up_to) - 1)
-        key, sender = None, chance.randrange(self.scenario.senders)
+        key, sender = None, self._a_sender()
         if kind.in_order:
             number = chance.randrange(kind.keys)
             key, sender = f"k{number}", number % self.scenario.senders
@@ -243,6 +247,12 @@
         self.judge.asked(logical.number, kind, now)
         self._hand_in(logical, sender)
 
+    def _a_sender(self) -> int:
+        if not self._senders_up_to:
+            return self._chance.randrange(self.scenario.senders)
+        up_to = self._senders_up_to
+        return min(bisect(up_to, self._chance.random() * up_to[-1]), len(up_to) - 1)
+
     def _hand_in(self, logical: Logical, sender: int) -> None:
         now = self.stage.now_ms()
         left = logical.expiry - now
