The ramp is a route's, and what a route's endpoints failed together is one outage

Failures in a row are counted for the route, of calls that left since it last served: three (five if brief) make all its endpoints ill, two and a second without service make its return a cold one (this takes the place of the rule by the line's length). One meter for all cold and ill endpoints of a route, trials beside a returned sibling pay from it. After a told wait the trial comes by chance as the first call of a ramp; a told wait recalled after a restart with over 2 s to go is met as that. Siblings found back take over the warmth of the first. The usual rate has the margin that the part of a limit had (RAMP).

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -15,6 +15,7 @@
 from collections.abc import Generator
 
 from birchstack import interface as our
+from birchstack import state
 from birchstack.interface import BINDING, CANCELLED, CONNECT_FAILED, FULL, NUMBERED, OK, READY, UNSENT
 from birchstack.state import MARK, Average, Call, Classes, Document, Fading, Keyline, Meter, Place, Ring, mark
 
@@ -38,7 +39,7 @@
 LEAST_TOGETHER, LEAST_PACE = 4.0, 0.5          # calls a second to a destination, of all senders, of one
 SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
 GUESSED_TOP, BURST = 4.0, 0.25                 # a limit not told over the first rate; seconds of the pace
-OUTAGE_MS, LINE = 1000.0, 1.0                  # failed so long, with such seconds of documents in line: cold
+OUTAGE_MS = 1000.0                             # all failed so long: cold, if served again
 ASK_MS, LONGEST_ASK_MS, EARLY_MS = 500.0, 8000.0, 1.0   # before asking for the list; an alarm may be early
 CALL_MS, FORGET = 100.0, 64                    # a call takes so long at least; so many empty ones are kept
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
@@ -72,9 +73,9 @@
         self.destination = destination
         self.endpoints: list[Endpoint] = []
         self.ill_at, self.away_ms = now, 0.0        # since when it is ill, and how long it was the last time
-        self.hold_until = 0.0           # others were refused, and told to wait so long
-        self.per_call, self.wait_until, self.refused = per_call, 0.0, 0     # refusals in a row
-        self.trial_at, self.trial_ms = 0.0, TRIAL_MS
+        self.row, self.failed_at, self.refused = 0, now, 0  # failures since it served, since when; refusals
+        self.wait_until = self.hold_until = 0.0     # a wait told; others were, and hold so long
+        self.per_call, self.trial_at, self.trial_ms, self.ramp = per_call, 0.0, TRIAL_MS, Meter(now)
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
         self.room, self.room_at, self.meter, self.served = 1.0, now, Meter(now), Ring(now, BUCKET_MS, BUCKETS)
 
@@ -110,9 +111,8 @@
         self.number, self.taken, self.failed, self.since = number, 0, 0, now
         self.routes: list[Route] = []
         self.line: list[Document] = []
-        self.window, self.tokens = float("inf"), TOKENS
+        self.window, self.tokens, self.out, self.turn = float("inf"), TOKENS, 0, turn   # calls out; turns
         self.resize(settings)
-        self.out, self.turn = 0, turn   # calls out; for taking endpoints in turn
 
     def resize(self, settings: our.Settings) -> None:
         slots, self.least = settings.slots, LEAST_TOGETHER / settings.senders
@@ -151,9 +151,8 @@
         self._dialled, self._lying, self._repeats_held = [], {}, False  # called, and idle, since a turn
         self._failed: dict[int, Destination] = {}   # with documents that failed before a restart
         self._sure = False              # whether a list was told since the start: one from before may be old
-        self._busy = self._level = self._turned = 0.0   # shares of slots taken
-        self._ask_ms = ASK_MS           # not all at one time: the list can answer only so many
-        self._ask_at = self._draw(0.0, ASK_MS) if settings.list_on_request else float("inf")
+        self._busy, self._level, self._turned, self._ask_ms = 0.0, 0.0, 0.0, ASK_MS     # parts of slots
+        self._ask_at = self._draw(0.0, ASK_MS) if settings.list_on_request else float("inf")    # spread
         self._tenants: dict[str, tuple[float, Ring]] = {}   # quota and documents taken, by tenant
         self._quotas(settings)
 
@@ -243,6 +242,8 @@
     def recall(self, now: float, endpoint: str, wait_ms: float, back_ms: float) -> None:  # of the one before
         if ep := self._endpoints.get(endpoint):     # a wait told, and how long ago it was back from a drain
             ep.route.wait_until = max(ep.route.wait_until, now + wait_ms)
+            if wait_ms > LONG_WAIT_MS:
+                self._falls_ill(now, ep.route.destination, ep.route, ep, FULL)
             ep.back_at = now - back_ms if back_ms >= 0.0 else ep.back_at
 
     def avoided(self) -> list[str]:     # for the figures: listed as ready, yet only trials go there
@@ -264,7 +265,7 @@
         self._stirred = False
         for dest in [self._failed.pop(each) for each in [*self._failed]]:      # before a restart
             for ep in [each for route in dest.routes for each in route.endpoints]:
-                ep.ill = dest.failed >= max(STREAK, FAILED_PART * dest.taken)   # down: one call first
+                ep.ill |= dest.failed >= max(STREAK, FAILED_PART * dest.taken)  # down: one call first
             dest.failed = 0
         self._busy += (self._level - self._busy) * min(1.0, (now - self._turned) / BUSY_MS)
         self._alarm = self._alarm if now < self._alarm - EARLY_MS else float("inf")
@@ -351,7 +352,7 @@
         self._out, dest.out = self._out + 1, dest.out + 1
         ep.calls.append(now)
         ep.trials += ep.ill
-        for meter in (ep.route.meter, ep.meter):
+        for meter in (ep.route.meter, ep.route.ramp)[:1 + (ep.ill or ep.back_at is not None)]:
             meter.credit = max(0.0, meter.credit - 1.0)
         return Call(ep, now, idle_ms)
 
@@ -450,15 +451,12 @@
             if wait_ms > 0.0:
                 self._wake(now, now + wait_ms)
                 continue
-            for ep in route.endpoints:
-                if ep.state != READY:
-                    continue
+            for ep in [each for each in route.endpoints if each.state == READY]:
                 if ep.ill and now < route.trial_at:
                     self._wake(now, route.trial_at)
-                elif ep.ill and not any(each.trials for each in route.endpoints):
-                    trials.append(ep)
-                elif not ep.ill and self._ramped(now, dest, route, ep):
-                    places.append(ep)
+                elif not (ep.ill and any(each.trials for each in route.endpoints)) \
+                        and self._ramped(now, dest, route, ep):
+                    (trials if ep.ill else places).append(ep)
         count = sum(len(route.endpoints) for route in dest.routes)      # where a connection lies idle first
         places.sort(key=lambda ep: (len(ep.calls), not ep.idle, (ep.number - dest.turn) % count))
         return trials + places
@@ -470,19 +468,19 @@
         return dest.out < min(dest.window, dest.half) and sick < max(1, int(dest.half * SICK_PART))
 
     def _ramped(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> bool:
-        """One that came back is cold: the usual, or its part of the limit, times its share of warmth."""
-        warm = 1.0 if ep.back_at is None else (now - ep.back_at) / self._set.warm_up_ms
+        """The cold, and the ill beside them: together the usual, or the part of the limit, times warmth."""
+        back_at = state.last_back(route.endpoints if ep.ill else [ep])
+        warm = 1.0 if back_at is None else (now - back_at) / self._set.warm_up_ms
         if warm >= 1.0:
             ep.back_at = None
             return True
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
-        ready = sum(each.state == READY for each in route.endpoints)
-        rate = max(dest.usual(now), route.limit * RAMP / self._set.senders)
+        cold = [each.ill or each.back_at is not None for each in route.endpoints if each.state == READY]
+        rate = max(dest.usual(now), route.limit / self._set.senders) * RAMP
         if self._set.notes:         # all were told at one time: what waits goes over as long as it was away
             rate = max(rate, len(dest.line) * 1000.0 / max(route.away_ms, WARM_LEAST_MS)) * SURE
-        wait_ms = ep.meter.wait_ms(now, rate * share / ready, 1.0)
-        if wait_ms > 0.0:
-            self._wake(now, now + wait_ms)
+        wait_ms = route.ramp.wait_ms(now, rate * share * sum(cold) / len(cold), 1.0)
+        self._wake(now, now + wait_ms if wait_ms > 0.0 else float("inf"))
         return wait_ms <= 0.0
 
     def _hopeless(self, now: float) -> None:
@@ -542,6 +540,8 @@
         if kind == FULL:
             route.meter.credit = self._draw(0.0, 0.9) if rare else 0.0   # the next call a full step later
         ep.failed_at, ep.streak = ep.failed_at if ep.streak else now, ep.streak + 1
+        if not call.trial and call.sent_at >= max(each.ok_at for each in route.endpoints):
+            route.failed_at, route.row = route.failed_at if route.row else now, route.row + 1
         brief = BRIEF * (outcome.elapsed_ms < TRIAL_MS and kind in (our.ERROR, our.RESET, CONNECT_FAILED))
         ep.failing += (0.1 if brief else 0.2) * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
@@ -555,26 +555,28 @@
             self._tell(now, ep, f"{WAIT}{int(outcome.wait_ms)}")
         if ep.ill:
             self._await_trial(now, dest, route, route.trial_ms * 2.0)
-        elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE) or outcome.wait_ms > \
-                LONG_WAIT_MS or ep.streak >= max(STREAK, 2 * enough) and now - ep.failed_at >= SHUT_MS:
+        elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE or route.row - route.refused >=
+                               STREAK + brief) or outcome.wait_ms > LONG_WAIT_MS or ep.streak >= max(
+                                   STREAK, 2 * enough) and now - ep.failed_at >= SHUT_MS:
             self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
 
     def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Endpoint, why: str) -> None:
         route.ill_at = route.ill_at if any(each.ill for each in route.endpoints) else now
         for each in route.endpoints:    # a shut destination is shut at all its endpoints
-            if each is ep or why == FULL and each.ok_at < ep.failed_at:
+            if each is ep or route.row - route.refused >= STREAK or why == FULL and each.ok_at < ep.failed_at:
                 each.ill, each.back_at = True, None
         self._await_trial(now, dest, route, TRIAL_MS)
         self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
 
     def _await_trial(self, now: float, dest: Destination, route: Route, ms: float) -> None:
         route.trial_ms, usual = min(LONGEST_TRIAL_MS, ms), dest.usual(now)
-        start, rare_ms, least = now, TRIAL_EVERY / usual, 0.3   # many try no more often than they send
+        start, rare_ms, least = max(now, route.wait_until, route.hold_until), TRIAL_EVERY / usual, 0.3
         if self._set.notes:     # what one finds all hear: those that hold something try in turn
-            start, all_of_us = max(now, route.wait_until, route.hold_until), usual * self._set.senders
             held = min(1.0, usual * (start - route.ill_at + NOTE_MS) / 1000.0) * self._set.senders
-            rare_ms, least = held * 1000.0 / max(LEAST_TRIALS, all_of_us * TRIAL_PART), 0.0
-        pause_ms = rare_ms if rare_ms > LONGEST_TRIAL_MS else route.trial_ms
+            rare_ms, least = held * 1000.0 / max(LEAST_TRIALS, TRIAL_PART * usual * self._set.senders), 0.0
+        pause_ms = rare_ms if rare_ms > LONGEST_TRIAL_MS else route.trial_ms    # no more often than they send
+        if start > now and not self._set.notes:     # all see its end at one time: the first calls of the ramp
+            pause_ms, least = 500.0 / max(usual * self._set.cold_share, 1000.0 / self._set.warm_up_ms), 0.0
         route.trial_at = start + pause_ms * self._draw(least, 2.0 - least)
 
     # What other senders tell: evidence that is weaker than an outcome, and ages
@@ -630,10 +632,8 @@
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
         self._norm.add(ms)
-        silent = now - ep.failed_at > OUTAGE_MS and all(each.ok_at < ep.failed_at for each in route.endpoints)
-        silent = silent or any(each.ill for each in route.endpoints)    # an outage that few calls here met
         back = call.sent_at >= route.ill_at if ep.ill else \
-            ep.streak and silent and len(dest.line) > max(STREAK, LINE * dest.rate(now))
+            route.row >= BRIEF and call.sent_at >= route.failed_at < now - OUTAGE_MS    # few calls met it
         ep.streak, ep.ok_at, ep.failing, ep.doubtful = 0, now, ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
@@ -645,14 +645,16 @@
             if not ep.ill or ep.failing <= ILL_SHARE:
                 self._tell(now, ep, BACK)
                 self._back(now, dest, route, ep)
+        route.row = 0
 
     def _back(self, now: float, dest: Destination, route: Route, ep: Endpoint) -> None:
-        route.away_ms = now - route.ill_at
+        route.away_ms, back_at = now - route.ill_at, state.last_back(route.endpoints)
+        if back_at is None or back_at < max(route.ill_at, route.failed_at):
+            route.ramp, back_at = Meter(now, self._draw(0.0, 1.0)), now
         for each in route.endpoints:    # a sibling that failed and served nothing since is as cold
-            if each is ep or each.streak and not each.ill:
-                each.ill, each.back_at = False, now
+            if each is ep or (each.streak or route.row >= BRIEF) and not each.ill:
+                each.ill, each.back_at = False, back_at
                 each.word.clear()
-                each.meter = Meter(now, self._draw(0.0, 1.0))
         self._host.log(f"destination {dest.number}: endpoint back, {dest.rate(now):.2f} documents/s")
 
     def _patience(self, ep: Endpoint, doc: Document) -> float:
@@ -680,10 +682,8 @@
         number = sum(len(each.endpoints) for each in dest.routes) + 1
         ep = self._endpoints[entry.name] = Endpoint(entry, number, now, self._norm, Fading(now, WORD_MS))
         self._marks[mark(entry.name)] = ep
-        self._seat(now, dest, ep, entry.rate if self._set.rates_listed else 0.0)
-        others = [each for each in ep.route.endpoints if each is not ep]
-        ep.ill = any(other.ill for other in others)     # a new one beside the sick or cold: no burst
-        ep.back_at = max((each.back_at for each in others if each.back_at), default=None)
+        self._seat(now, dest, ep, entry.rate if self._set.rates_listed else 0.0)  # beside the cold: as cold
+        ep.ill, ep.back_at = any(each.ill for each in ep.route.endpoints), state.last_back(ep.route.endpoints)
 
     def _seat(self, now: float, dest: Destination, ep: Endpoint, rate: float) -> None:
         if not dest.routes or self._set.routes_apart[ep.kind]:
--- a/birchstack/state.py
+++ b/birchstack/state.py
@@ -139,13 +139,17 @@
         self.ill, self.failing, self.doubtful = False, 0.0, 0.0    # moving shares: failed, left in doubt
         self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
         self.ok_at, self.back_at = -1.0, None   # when it last served, and answered again after an outage
-        self.meter = Meter(now)         # for the ramp after it
         self.call, self.blamed = None, 0.0  # made in this turn, others may join; idle time before a time-out
 
     def joinable(self) -> bool:
         return self.call is not None and self.call.docs < self.route.per_call
 
 
+def last_back(places: list[Place]) -> float | None:
+    """When the last of these came back that are cold."""
+    return max((place.back_at for place in places if place.back_at is not None), default=None)
+
+
 class Keyline:
     """Documents of one key, in the order taken; one at a time, with a rest after doubt."""
 
