--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -541,7 +541,7 @@
             route.meter.credit = self._draw(0.0, 0.9) if rare else 0.0   # the next call a full step later
         ep.failed_at, ep.streak = ep.failed_at if ep.streak else now, ep.streak + 1
         if not call.trial and call.sent_at >= max(each.ok_at for each in route.endpoints):
-            route.failed_at, route.row = route.failed_at if route.row else now, route.row + 1
+            route.failed_at, route.row = route.failed_at if route.row else call.sent_at, route.row + 1
         brief = BRIEF * (outcome.elapsed_ms < TRIAL_MS and kind in (our.ERROR, our.RESET, CONNECT_FAILED))
         ep.failing += (0.1 if brief else 0.2) * (1.0 - ep.failing)
         ep.doubtful += 0.2 * ((kind not in NEVER_RAN) - ep.doubtful)
