--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -5,6 +5,10 @@
 fleet's witness and its records. What is not: the listening sockets (none), the folder (in memory), signals.
 A hollow one has no client, so it opens no connection to an endpoint either.
 
+Traffic, list handling and memory for each endpoint listed are a real one's (tests/test_capacity_fleet.py).
+Its processor time is not: what wakes a process is shared by all in it, so the more they are the less each
+seems to take.
+
     python -m benchmarks.capacity.hollow LIST-SERVICE [--fleet] [--senders OF-THE-FLEET]
 
 speaks JSON lines: {"start": N} starts N more, {"stop": N} ends the N oldest, {"report": 0} answers what
@@ -54,7 +58,7 @@
     def folder(self, path: str) -> MemoryFolder:
         return MemoryFolder(self.disk)
 
-    async def listen(self, loop, where, protocol, shared=True) -> NoDoor:
+    async def listen(self, loop, where, protocol, *how) -> NoDoor:
         return NoDoor()
 
     def knocked(self, server: NoDoor) -> bool:
@@ -86,7 +90,7 @@
         """Endpoints listed, those that the decisions hold, the version; its digest where a trail is kept."""
         figures = dict(self._witness.figures()) if self._witness else {}
         digest = figures.get("list_digest", "-")
-        return len(self._entries), len(self._core._endpoints), self._watch._version, digest
+        return len(self._list.entries), len(self._core._endpoints), self._watch._version, digest
 
     def end(self) -> None:
         """At once: its watch ends, and nothing of it happens any more."""
--- a/benchmarks/capacity/turn.py
+++ b/benchmarks/capacity/turn.py
@@ -215,8 +215,8 @@
         raw = {"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f",
                "state": "/", "limits": {"disk_mb": 100_000}, "settings": stand.settings()}
         self.node = Node(decode(raw, {}), self.loop, InMemory())
-        self.node._entries, self.node._ledger.owed = work.dictionary(), work.dictionary()
-        self.node._destinations, self.node._answers = work.dictionary(), work.dictionary()
+        self.node._list.entries, self.node._ledger.owed = work.dictionary(), work.dictionary()
+        self.node._list._destinations, self.node._answers = work.dictionary(), work.dictionary()
         self.spare = listed
         self.node._listed(our.WHOLE, [(endpoint(each), ("127.0.0.1", 3)) for each in range(1, listed + 1)])
         self.node._turn()
@@ -283,7 +283,8 @@
 
 
 def read(listed: int, block: int = 4096) -> Callable[[], None]:
-    """A list of so many is read from the watch, a block of bytes at a time."""
+    """A list of so many is read from the watch, a block of bytes at a time: less than the 64 KiB that come at
+    once, so that short lists show what long ones do. Its CPU is more than a sender's for that."""
     node = Whole().node
     text = stand.text(9, True, stand.whole_list(listed, 1, ["127.0.7.1:23000"]))
     told = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(text), text)
--- a/birchstack/__main__.py
+++ b/birchstack/__main__.py
@@ -1,13 +1,17 @@
 """python -m birchstack: one real sender, by the configuration that BALANCER_CONFIG names."""
 
 import asyncio
+import dataclasses
 import gc
 import os
 import signal
 import sys
 
+from birchstack import backlog
 from birchstack.net import log
 from birchstack.net.config import Config, ConfigError, load
+from birchstack.net.machine import Machine
+from birchstack.net.overflow import Make as MakeStore
 from birchstack.net.sender import Node
 from birchstack.net.witness import Make
 
@@ -25,8 +29,25 @@
     return settings.room_for(told, config), witness.maker(told)
 
 
-async def _serve(config: Config, witness: Make | None) -> None:
-    node = Node(config, asyncio.get_running_loop(), witness=witness)
+def _store(config: Config) -> tuple[Config, MakeStore | None]:
+    """What keeps long lines of documents on disk, where operators switched it on; it takes descriptors."""
+    path = os.environ.get("BALANCER_BACKLOG")
+    if not path:
+        if backlog.left(os.listdir(config.state)):
+            raise ConfigError(f"BALANCER_BACKLOG: not set, but documents wait in a backlog in {config.state}")
+        return config, None
+    try:
+        from birchstack.backlog import maker, settings
+    except ModuleNotFoundError as problem:
+        raise ConfigError(f"BALANCER_BACKLOG: {problem.name} is missing (the extra `backlog`)") from problem
+    sockets = min(config.sockets, Machine().descriptors()) - maker.DESCRIPTORS
+    if sockets < 64:
+        raise ConfigError(f"limits.sockets: the backlog needs {maker.DESCRIPTORS}, which leaves {sockets}")
+    return dataclasses.replace(config, sockets=sockets), maker.maker(settings.load(path))
+
+
+async def _serve(config: Config, witness: Make | None, store: MakeStore | None) -> None:
+    node = Node(config, asyncio.get_running_loop(), witness=witness, store=store)
     await node.start()
     gc.collect()
     gc.freeze()                 # what a start leaves behind is never garbage
@@ -38,10 +59,11 @@
     log.start()
     try:
         config, witness = _witness(load())
+        config, store = _store(config)
     except ConfigError as problem:
         print(f"birchstack: configuration: {problem}", file=sys.stderr)
         return 2
-    asyncio.run(_serve(config, witness))
+    asyncio.run(_serve(config, witness, store))
     return 0
 
 
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -13,7 +13,12 @@
 from pathlib import Path
 
 from birchstack import interface as our
+from birchstack.backlog import settings as backlog_settings
+from birchstack.backlog.plan import Sizes
+from birchstack.backlog.store import Backlog
 from birchstack.decide import Sender
+from birchstack.emulator.folder import MemoryFolder
+from birchstack.ledger.records import Kept
 from examples.toy import message as read_message
 
 TYPES = tuple(our.DocumentType(name, effect, 2000.0, 20000.0, 1.0, 0.5, one_zone, 5000.0, in_order)
@@ -190,11 +195,11 @@
     """answers: what the endpoint says to its next calls; status: what the platform says to notices;
     descriptors: how many the system lets the sender have."""
 
-    def __init__(self, folder, known=True, changes=None, descriptors=None, **limits):
+    def __init__(self, folder, known=True, changes=None, environment=None, descriptors=None, **limits):
         self.folder, self.answers, self.calls, self.notices, self.asked = folder, [], [], [], []
         self.status, self.watchers, self.lines, self.connections, self.process = 204, [], [], 0, None
         self.port, self._known, self._limits, self.out, self.most_out = free_port(), known, limits, 0, 0
-        self.ops, self.changes = free_port(), changes or {}
+        self.ops, self.changes, self._environment = free_port(), changes or {}, environment or {}
         self.on_call = lambda: None
         self._limited = descriptors and (
             lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
@@ -234,7 +239,7 @@
         return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
 
     async def start(self):
-        told = {"BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent}
+        told = {**self._environment, "BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log(),
             preexec_fn=self._limited)
@@ -252,7 +257,7 @@
         """Starts the sender once more beside the one that runs, as an upgrade does: same configuration and
         folder, another operators' door. Returns the process and that door's port once it says it is ready."""
         ops = free_port()
-        told = {"BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent,
+        told = {**self._environment, "BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent,
                 "BALANCER_OPS": f"127.0.0.1:{ops}"}
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log())
@@ -358,3 +363,23 @@
         async with World(folder / "state", **words) as world:
             await asyncio.wait_for(story(world), 20.0)
     asyncio.run(whole())
+
+
+# The backlog on disk, small enough that a short story seals, flushes and merges
+
+SMALL = Sizes(sealed=700, flushed=6, unmarked=2000, fan=3, passed=1500, popped=16, logged=900)
+ROOM = backlog_settings.Settings(window=1, bytes=1 << 30)
+
+
+def kept(number, destination=1, expiry=1e6, body=b"body", taken=None, **words):
+    taken = float(taken if taken is not None else number if isinstance(number, int) else 0)
+    return Kept(f"d{number}", "sync", destination, None, expiry, body, taken=taken, **words)
+
+
+def opened(disk, sizes=SMALL, room=ROOM, now=0.0):
+    return Backlog(MemoryFolder(disk), room, now, sizes)
+
+
+def settle(store):
+    """Housekeeping to its end, which must come."""
+    assert any(not store.step() for _ in range(20_000))
