--- a/benchmarks/capacity/work.py
+++ b/benchmarks/capacity/work.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+import gc
 import linecache
 import math
 import sys
@@ -24,14 +25,17 @@
 
 
 class Work:
-    """Counts while it is entered."""
+    """Counts while it is entered. Garbage is collected before and not meanwhile: generators of what was
+    counted earlier would end in it, and their instructions count here."""
 
     def __init__(self) -> None:
         self._counts: collections.Counter[Place] = collections.Counter()
         self._calls: collections.Counter[tuple[str, str]] = collections.Counter()
 
     def __enter__(self) -> Work:
-        self._before = sys.gettrace()
+        gc.collect()
+        self._before, self._collects = sys.gettrace(), gc.isenabled()
+        gc.disable()
         Counted.work = self
         sys.settrace(self._called)
         return self
@@ -39,6 +43,8 @@
     def __exit__(self, *problem: object) -> None:
         sys.settrace(self._before)
         Counted.work = None
+        if self._collects:
+            gc.enable()
 
     def _called(self, frame: FrameType, event: str, arg: object) -> object:
         if not frame.f_code.co_filename.startswith(ROOT):
