What is owed is looked through for the hopeless only where a place is shut

Cause: each turn went over all documents in line to ask whether the opening of their destination lies past their last call; where it is open now that cannot be, as what is past its last call was ended just before. Change: the line is looked through only where the opening lies ahead. No decision changes.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -474,7 +474,7 @@
         past the time left; one not listed since the start waits for it. May hurt where listed again soon."""
         for dest in [dest for dest in self._destinations.values() if dest.line]:
             opens = self._opens(now, dest)
-            for doc in [doc for doc in dest.line if opens > self._last_call(doc)]:
+            for doc in [doc for doc in dest.line if opens > self._last_call(doc)] if opens > now else ():
                 dest.line.remove(doc)
                 doc.back_ms = opens - now
                 self._resume(now, doc, None)
