--- a/benchmarks/backlog.py
+++ b/benchmarks/backlog.py
@@ -27,14 +27,28 @@
 
 OWED, DOWN = (10_000, 100_000, 1_000_000), (1, 40, 400, 1_692)
 ROOM = Settings(window=1, bytes=1 << 40)
-FROM, SPREAD = 1.7e12, 2 * 86_400_000.0     # expiries lie over two days
-RUN, IDLE = 64, 2000                        # documents in one read; turns with nothing to do
-UNITS = {"memory": "bytes", "memory a document": "bytes", "intake": "documents a CPU second",
-         "longest append": "ms", "longest step": "ms", "longest step, CPU": "ms",
-         "disk a document": "bytes", "files": "files", "runs": "files",
-         "turn while owed": "us", "found by id": "us", "restart": "s", "restart CPU": "s",
-         "restart read": "bytes", "memory after a restart": "bytes", "drain": "documents a CPU second",
-         "longest step of the drain": "ms", "longest step of the drain, CPU": "ms"}
+FROM, SPREAD = 1.7e12, 2 * 86_400_000.0  # expiries lie over two days
+RUN, IDLE = 64, 2000  # documents in one read; turns with nothing to do
+UNITS = {
+    "memory": "bytes",
+    "memory a document": "bytes",
+    "intake": "documents a CPU second",
+    "longest append": "ms",
+    "longest step": "ms",
+    "longest step, CPU": "ms",
+    "disk a document": "bytes",
+    "files": "files",
+    "runs": "files",
+    "turn while owed": "us",
+    "found by id": "us",
+    "restart": "s",
+    "restart CPU": "s",
+    "restart read": "bytes",
+    "memory after a restart": "bytes",
+    "drain": "documents a CPU second",
+    "longest step of the drain": "ms",
+    "longest step of the drain, CPU": "ms",
+}
 
 
 class Counted(Folder):
@@ -55,12 +69,21 @@
 def fill(path: str, owed: int, down: int, body: int) -> dict[str, float]:
     store = Backlog(Folder(path), ROOM, FROM)
     gc.collect()
-    gc.freeze()                                 # as the sender does behind its start
+    gc.freeze()  # as the sender does behind its start
     before, begun, far = private(), time.process_time(), SPREAD / owed
     append = step = busy = 0.0
     for number in range(owed):
-        kept = Kept(f"5f0c1b2e-{number:012}-9d3a", "order", number * 7919 % down, None,
-                    FROM + SPREAD + number * 7919 % owed * far, bytes(body), None, None, FROM + number)
+        kept = Kept(
+            f"5f0c1b2e-{number:012}-9d3a",
+            "order",
+            number * 7919 % down,
+            None,
+            FROM + SPREAD + number * 7919 % owed * far,
+            bytes(body),
+            None,
+            None,
+            FROM + number,
+        )
         at, on = time.perf_counter(), time.thread_time()
         store.append(kept)
         then = time.perf_counter()
@@ -83,10 +106,19 @@
     found = time.process_time() - begun
     sizes = [entry.stat().st_size for entry in os.scandir(path)]
     assert len(store) == owed
-    return {"memory": memory, "memory a document": memory / owed, "intake": owed / cpu,
-            "longest append": append * 1000, "longest step": step * 1000, "longest step, CPU": busy * 1000,
-            "files": len(sizes), "disk a document": sum(sizes) / owed - body, "runs": len(store._index.runs),
-            "turn while owed": idle / IDLE * 1e6, "found by id": found / IDLE * 1e6}
+    return {
+        "memory": memory,
+        "memory a document": memory / owed,
+        "intake": owed / cpu,
+        "longest append": append * 1000,
+        "longest step": step * 1000,
+        "longest step, CPU": busy * 1000,
+        "files": len(sizes),
+        "disk a document": sum(sizes) / owed - body,
+        "runs": len(store._index.runs),
+        "turn while owed": idle / IDLE * 1e6,
+        "found by id": found / IDLE * 1e6,
+    }
 
 
 def drain(path: str, owed: int) -> dict[str, float]:
@@ -94,8 +126,12 @@
     folder, before = Counted(path), private()
     cpu, begun = time.process_time(), time.perf_counter()
     store = Backlog(folder, ROOM, FROM)
-    told = {"restart": time.perf_counter() - begun, "restart CPU": time.process_time() - cpu,
-            "restart read": folder.read, "memory after a restart": private() - before}
+    told = {
+        "restart": time.perf_counter() - begun,
+        "restart CPU": time.process_time() - cpu,
+        "restart read": folder.read,
+        "memory after a restart": private() - before,
+    }
     assert len(store) == owed
     gc.collect()
     gc.freeze()
@@ -113,8 +149,12 @@
         pass
     store.close()
     assert not os.listdir(path)
-    return {**told, "drain": owed / cpu, "longest step of the drain": longest * 1000,
-            "longest step of the drain, CPU": busy * 1000}
+    return {
+        **told,
+        "drain": owed / cpu,
+        "longest step of the drain": longest * 1000,
+        "longest step of the drain, CPU": busy * 1000,
+    }
 
 
 def apart(function, *words):
@@ -130,9 +170,13 @@
 def machine() -> dict:
     with open("/proc/cpuinfo", encoding="utf-8") as file:
         models = [line.partition(":")[2].strip() for line in file if line.startswith("model name")]
-    return {"cpu": models[0] if models else platform.machine(), "cores": os.cpu_count(),
-            "memory_bytes": os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES"),
-            "python": platform.python_version(), "kernel": platform.release()}
+    return {
+        "cpu": models[0] if models else platform.machine(),
+        "cores": os.cpu_count(),
+        "memory_bytes": os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES"),
+        "python": platform.python_version(),
+        "kernel": platform.release(),
+    }
 
 
 @click.command()
@@ -146,13 +190,23 @@
         for count in owed or OWED:
             figures = point(count, each, body)
             points.append([count, figures])
-            print(f"{count:>9,} owed, {each:>5,} down: "
-                  + "; ".join(f"{name} {value:,.4g}" for name, value in figures.items()), flush=True)
+            print(
+                f"{count:>9,} owed, {each:>5,} down: "
+                + "; ".join(f"{name} {value:,.4g}" for name, value in figures.items()),
+                flush=True,
+            )
         if out:
-            _put(out, {"slope": f"backlog, {each} destinations down",
-                       "taken": time.strftime("%Y-%m-%d %H:%M", time.gmtime()), "machine": machine(),
-                       "command": f"python benchmarks/backlog.py --down {each} --body {body}",
-                       "units": UNITS, "points": points})
+            _put(
+                out,
+                {
+                    "slope": f"backlog, {each} destinations down",
+                    "taken": time.strftime("%Y-%m-%d %H:%M", time.gmtime()),
+                    "machine": machine(),
+                    "command": f"python benchmarks/backlog.py --down {each} --body {body}",
+                    "units": UNITS,
+                    "points": points,
+                },
+            )
 
 
 def _put(out: Path, told: dict) -> None:
--- a/benchmarks/backlog_options.py
+++ b/benchmarks/backlog_options.py
@@ -105,7 +105,7 @@
 
     def __init__(self, folder):
         self._folder, self._number, self._file, self._size = folder, 0, -1, 0
-        self._runs, self._left, self.longest = {}, {}, 0.0      # by destination: where; by run: destinations
+        self._runs, self._left, self.longest = {}, {}, 0.0  # by destination: where; by run: destinations
 
     def append(self, kept):
         data = frame(kept)
@@ -124,7 +124,7 @@
         self._folder.close(self._file)
         self._file = -1
         found = [record for record, _ in scan(self._folder, log, HEAD.size, self._size)]
-        found.sort(key=lambda kept: kept.destination)           # stable: the order of arrival stays
+        found.sort(key=lambda kept: kept.destination)  # stable: the order of arrival stays
         out, at = self._folder.open(run), HEAD.size
         self._folder.append(out, head(self._number))
         for destination, records in itertools.groupby(found, key=lambda kept: kept.destination):
@@ -182,8 +182,19 @@
         folder = Counted(path)
         option, begun = kind(folder), time.process_time()
         for number in range(owed):
-            option.append(Kept(f"5f0c1b2e-{number:012}-9d3a", "order", number * 7919 % down, None, 1e12, BODY,
-                               None, None, float(number)))
+            option.append(
+                Kept(
+                    f"5f0c1b2e-{number:012}-9d3a",
+                    "order",
+                    number * 7919 % down,
+                    None,
+                    1e12,
+                    BODY,
+                    None,
+                    None,
+                    float(number),
+                )
+            )
         option.sealed()
         intake, written, files = (time.process_time() - begun) / owed, folder.written, len(os.listdir(path))
         full, most, begun = size(path), max(1, down * 9 // 10), time.process_time()
@@ -192,8 +203,15 @@
         count += drained(option, range(most, down))
         drain = (time.process_time() - begun) / owed
         assert count == owed and not os.listdir(path)
-        return [f"{intake * 1e6:.1f}", f"{written / owed:,.0f}", f"{files:,}", f"{drain * 1e6:.1f}",
-                f"{folder.reads / owed:.3f}", f"{kept:.2f}", f"{option.longest * 1000:.0f}"]
+        return [
+            f"{intake * 1e6:.1f}",
+            f"{written / owed:,.0f}",
+            f"{files:,}",
+            f"{drain * 1e6:.1f}",
+            f"{folder.reads / owed:.3f}",
+            f"{kept:.2f}",
+            f"{option.longest * 1000:.0f}",
+        ]
 
 
 @click.command()
@@ -201,8 +219,17 @@
 @click.option("--down", multiple=True, default=(1, 40, 400, 1_692), show_default=True)
 def main(owed, down):
     table = Table(title=f"{owed:,} owed, bodies of {len(BODY)} bytes")
-    for name in ("layout", "down", "intake, us CPU", "written, bytes a document", "files", "drain, us CPU",
-                 "reads a document", "kept of the disk with a tenth owed", "longest sealing, ms"):
+    for name in (
+        "layout",
+        "down",
+        "intake, us CPU",
+        "written, bytes a document",
+        "files",
+        "drain, us CPU",
+        "reads a document",
+        "kept of the disk with a tenth owed",
+        "longest sealing, ms",
+    ):
         table.add_column(name)
     for each in down:
         for kind in (Each, Shared):
--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -17,7 +17,7 @@
 
 from benchmarks.capacity import record
 
-SLOPES = {                                  # by name: the module, imported when it is asked for
+SLOPES = {  # by name: the module, imported when it is asked for
     "listed": "benchmarks.capacity.listed",
     "spread": "benchmarks.capacity.spread",
     "turn": "benchmarks.capacity.turn",
@@ -53,7 +53,7 @@
     told = record.record(name, module.FIGURES, rows, command)
     # Processes that ran, before and after: what runs beside it stretches its times, and its CPU somewhat
     told["load"] = [round(load, 1), round(os.getloadavg()[0], 1)]
-    if hasattr(module, "notes"):            # what is no figure of a line
+    if hasattr(module, "notes"):  # what is no figure of a line
         told["notes"] = module.notes(module.SMALL if small else module.POINTS)
     return told
 
--- a/benchmarks/capacity/alone.py
+++ b/benchmarks/capacity/alone.py
@@ -15,10 +15,10 @@
 from birchstack import interface as our
 from birchstack.decide import Sender
 
-EVENTS, DESTINATIONS, DOWN = 560_000.0, 36_000, 1_692       # a second, of all senders; the target's
-PLAYED = 200                    # destinations in the play: a pair's rate is the target's
+EVENTS, DESTINATIONS, DOWN = 560_000.0, 36_000, 1_692  # a second, of all senders; the target's
+PLAYED = 200  # destinations in the play: a pair's rate is the target's
 ANSWER_MS, EXPIRY_MS, AGREED_MS = 60.0, 20_000.0, 2_000.0
-REFUSED, ERRING, SILENT = "refused", "erring", "silent"     # at once; after the usual time; never
+REFUSED, ERRING, SILENT = "refused", "erring", "silent"  # at once; after the usual time; never
 WAYS = (REFUSED, ERRING, SILENT)
 
 
@@ -28,17 +28,17 @@
 
     seconds: float = 0.0
     down: int = 0
-    documents: int = 0              # handed in for those down
-    firsts: int = 0                 # to those down: first tries while not known as ill
-    trials: int = 0                 # calls to one known as ill, whether first tries or paid from the bucket
-    repeats: int = 0                # repeats while not known as ill
-    all_firsts: int = 0             # first tries and repeats, wherever to
+    documents: int = 0  # handed in for those down
+    firsts: int = 0  # to those down: first tries while not known as ill
+    trials: int = 0  # calls to one known as ill, whether first tries or paid from the bucket
+    repeats: int = 0  # repeats while not known as ill
+    all_firsts: int = 0  # first tries and repeats, wherever to
     all_repeats: int = 0
-    looks: int = 0                  # moments looked at, one each second; of these:
-    share: int = 0                  # repeats were held back by the share over all
-    bucket: int = 0                 # destinations down with less than a token in their bucket, added up
-    ill: int = 0                    # likewise: an endpoint known as ill
-    given_up: int = 0               # documents for those down that had their end undelivered
+    looks: int = 0  # moments looked at, one each second; of these:
+    share: int = 0  # repeats were held back by the share over all
+    bucket: int = 0  # destinations down with less than a token in their bucket, added up
+    ill: int = 0  # likewise: an endpoint known as ill
+    given_up: int = 0  # documents for those down that had their end undelivered
 
     def each_down(self, many: int, senders: int) -> float:
         """A second, of all senders, to one destination that is down."""
@@ -52,24 +52,44 @@
 class Alone:
     """The host of one sender: time, destinations, documents."""
 
-    def __init__(self, senders: int, share_down: float, way: str, seed: int, played: int = PLAYED,
-                 endpoints: int = 1) -> None:
+    def __init__(
+        self, senders: int, share_down: float, way: str, seed: int, played: int = PLAYED, endpoints: int = 1
+    ) -> None:
         """endpoints: of each destination; of one that is down the first endpoint alone is."""
         self._senders, self._way, self.now = senders, way, 0.0
         self._chance = random.Random(f"alone {seed} {senders} {share_down} {way}")
         kind = our.DocumentType("sync", our.REPLAYABLE, AGREED_MS, EXPIRY_MS, 1.0, 0.4, False, 0.0, False)
-        self._sender = Sender(our.Settings(
-            types=(kind,), slots=512, max_held=100_000, max_transmissions=6, senders=senders,
-            calls_per_connection=1, per_call=(1,), routes_apart=(False,), rates_listed=False,
-            list_on_request=False, retry_after_ms=3000.0, cold_share=0.3, warm_up_ms=10_000.0,
-            key_rest_ms=1000.0, notes=False), seed, self)
+        self._sender = Sender(
+            our.Settings(
+                types=(kind,),
+                slots=512,
+                max_held=100_000,
+                max_transmissions=6,
+                senders=senders,
+                calls_per_connection=1,
+                per_call=(1,),
+                routes_apart=(False,),
+                rates_listed=False,
+                list_on_request=False,
+                retry_after_ms=3000.0,
+                cold_share=0.3,
+                warm_up_ms=10_000.0,
+                key_rest_ms=1000.0,
+                notes=False,
+            ),
+            seed,
+            self,
+        )
         self._played, self._down = played, max(1, round(played * share_down))
-        self.pair_ms = 1000.0 / (EVENTS / DESTINATIONS / senders)       # from one document to the next
+        self.pair_ms = 1000.0 / (EVENTS / DESTINATIONS / senders)  # from one document to the next
         self._heap: list[tuple[float, int, tuple]] = []
         self._order, self._alarm, self._documents, self._is_down = 0, float("inf"), 0, False
         self._seen = Seen()
-        listed = [our.Endpoint(f"e{at}-{number}", at, "a", 0, our.READY, 0.0) for at in range(played)
-                  for number in range(endpoints)]
+        listed = [
+            our.Endpoint(f"e{at}-{number}", at, "a", 0, our.READY, 0.0)
+            for at in range(played)
+            for number in range(endpoints)
+        ]
         self._sender.endpoints(0.0, our.WHOLE, listed)
         self._sender.turn(0.0)
         self._later(0.0, ("document",))
@@ -125,8 +145,11 @@
             seen.trials += ill
             seen.repeats += not ill and doc.repeats > 0
             seen.firsts += not ill and doc.repeats == 0
-            kind, ms = {REFUSED: (our.CONNECT_FAILED, 1.0), ERRING: (our.ERROR, ANSWER_MS),
-                        SILENT: (our.TIMEOUT, patience_ms)}[self._way]
+            kind, ms = {
+                REFUSED: (our.CONNECT_FAILED, 1.0),
+                ERRING: (our.ERROR, ANSWER_MS),
+                SILENT: (our.TIMEOUT, patience_ms),
+            }[self._way]
         self._later(ms, ("outcome", doc_id, endpoint, our.Outcome(kind, doc.sent - 1, ms, kind == our.OK)))
 
     def _ended(self, doc_id: str) -> None:
--- a/benchmarks/capacity/audit.py
+++ b/benchmarks/capacity/audit.py
@@ -24,8 +24,16 @@
 NAME = "audit"
 TOGETHER, SECONDS = 5, 20
 POINTS, SMALL = (125, 250, 500, 1018, 2036), (50, 100, 200)
-FIGURES = {f"{how}: {what}": unit for how in ("alone", f"{TOGETHER} together") for what, unit in {
-    "trail": "bytes a second", "to a keeper": "bytes a second", "CPU": "cores", "room lasts": "s"}.items()}
+FIGURES = {
+    f"{how}: {what}": unit
+    for how in ("alone", f"{TOGETHER} together")
+    for what, unit in {
+        "trail": "bytes a second",
+        "to a keeper": "bytes a second",
+        "CPU": "cores",
+        "room lasts": "s",
+    }.items()
+}
 
 
 class Sender:
@@ -36,8 +44,9 @@
         raw = site.sender("n1", "127.0.0.1:9", "127.0.0.1:9", "127.0.0.1:9", folder, 1, {}, 550)
         config = fleet_settings.room_for(fleet, decode(raw, {}))
         self.room = fleet.trail.bytes
-        self.witness = Keeping(fleet, config, machine, machine.folder(folder),
-                               lambda: Moment(True, 100, 900.0))
+        self.witness = Keeping(
+            fleet, config, machine, machine.folder(folder), lambda: Moment(True, 100, 900.0)
+        )
         self.witness.begins(True)
         self.witness.settings(config, "start")
         self.witness.told({"rev": 1, "all": True, "targets": [site.entry("s-5be2a07c", 1)]}, "127.0.0.1:8500")
@@ -65,9 +74,10 @@
         trail, before = 0, sender.witness._shelf.trail
         for second in range(seconds):
             for first in range(0, per_second, together):
-                calls = [(f"9b1f03aa{second * per_second + first + at:08x}",
-                          f"s-{first * 7919 & 0xFFFFFFFF:08x}")
-                         for at in range(min(together, per_second - first))]
+                calls = [
+                    (f"9b1f03aa{second * per_second + first + at:08x}", f"s-{first * 7919 & 0xFFFFFFFF:08x}")
+                    for at in range(min(together, per_second - first))
+                ]
                 began = time.process_time()
                 sender.witness.turn(calls, [], [])
                 spent_s += time.process_time() - began
@@ -78,12 +88,25 @@
         if sender.records < turns:
             raise ValueError(f"{sender.records} records came of {turns} turns")
         per_s = trail / seconds
-        return {"trail": per_s, "to a keeper": sender.wire_bytes / seconds, "CPU": spent_s / seconds,
-                "room lasts": sender.room / per_s}
+        return {
+            "trail": per_s,
+            "to a keeper": sender.wire_bytes / seconds,
+            "CPU": spent_s / seconds,
+            "room lasts": sender.room / per_s,
+        }
 
 
 def measure(points: tuple[int, ...]) -> list[tuple[float, dict[str, float]]]:
     seconds = 2 if max(points) <= max(SMALL) else SECONDS
     ways = (("alone", 1), (f"{TOGETHER} together", TOGETHER))
-    return [(float(each), {f"{how}: {what}": value for how, many in ways
-                           for what, value in play(each, many, seconds).items()}) for each in points]
+    return [
+        (
+            float(each),
+            {
+                f"{how}: {what}": value
+                for how, many in ways
+                for what, value in play(each, many, seconds).items()
+            },
+        )
+        for each in points
+    ]
--- a/benchmarks/capacity/cuts.py
+++ b/benchmarks/capacity/cuts.py
@@ -15,19 +15,21 @@
 
 NAME = "cuts"
 REGIONS, LIST_AT, CUT = 3, 0, 2
-PER_S = 0.5                             # documents a second to each sender
+PER_S = 0.5  # documents a second to each sender
 POINTS, SMALL = (10, 30, 60, 120, 240), (4, 8, 16)
 SENDERS, FEW = 30, 6
 FIGURES = {
     "cut: dials to the list service": "a second a sender, watch and notices",
-    "cut: a change acted on by the others": "s", "cut: delivered": "of the documents handed in there",
+    "cut: a change acted on by the others": "s",
+    "cut: delivered": "of the documents handed in there",
     "others: delivered": "of the documents handed in there",
     "cut: answered as usual": "of the documents handed in there",
     "cut: calls begun into the cut": "a document handed in there",
     "cut: a change acted on, after its publishing": "s, the last",
     "return: a change acted on, after the end": "s, the last",
     "return: most asks in 100 ms": "of the senders cut off",
-    "return: bytes from the service": "bytes a sender cut off, in 3 s"}
+    "return: bytes from the service": "bytes a sender cut off, in 3 s",
+}
 
 
 class Reached:
@@ -70,9 +72,13 @@
             handed.append((name, doc))
             rig.clients.hand_in(name, doc, 1 + len(handed) // senders % 2)
             rig.stage.after(1000.0 / PER_S / senders, hand_in, until_ms)
+
     began, reached = rig.clock.now, Reached(rig, rig.list.number + 1)
-    links = [link for (a, b), link in rig.links.items()
-             if (region.get(a) == CUT) != (region.get(b) == CUT) and a in region and b in region]
+    links = [
+        link
+        for (a, b), link in rig.links.items()
+        if (region.get(a) == CUT) != (region.get(b) == CUT) and a in region and b in region
+    ]
     lists = [rig.link(name, "list") for name in away]
     for link in links:
         link.cut()
@@ -90,26 +96,30 @@
         link.open()
     rig.run(3.0)
     size = sum(reached.bytes[name] for name in away) - before
-    rig.run(27.0)                           # the last documents' time is up
+    rig.run(27.0)  # the last documents' time is up
     if faults := [fault for name in rig.senders for fault in rig[name].faults]:
         raise ValueError(faults[0])
     seen = {each.doc for each in rig.endpoints.calls[calls:]}
     asks = sorted(at for at, who, _ in rig.list.asks if who in away and at >= ended * 1000.0)
     most = max(sum(at <= each < at + 100.0 for each in asks) for at in asks)
-    parts = [sum(doc in seen for name, doc in handed if name in some) /
-            sum(name in some for name, _ in handed) for some in (away, rest)]
+    parts = [
+        sum(doc in seen for name, doc in handed if name in some) / sum(name in some for name, _ in handed)
+        for some in (away, rest)
+    ]
     answers = [rig.clients.handed[doc].status == 202 for name, doc in handed if name in away]
     last = reached.last(away)
     return {
         "cut: dials to the list service": dials / seconds / len(away),
         "cut: a change acted on by the others": reached.last(rest) - published,
-        "cut: delivered": parts[0], "others: delivered": parts[1],
+        "cut: delivered": parts[0],
+        "others: delivered": parts[1],
         "cut: answered as usual": sum(answers) / len(answers),
         "cut: calls begun into the cut": into / len(answers),
         "cut: a change acted on, after its publishing": last - published,
         "return: a change acted on, after the end": last - ended,
         "return: most asks in 100 ms": most / len(away),
-        "return: bytes from the service": size / len(away)}
+        "return: bytes from the service": size / len(away),
+    }
 
 
 def measure(points: tuple[int, ...]) -> list[tuple[float, dict[str, float]]]:
--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -9,8 +9,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-BEND = 0.05         # a point so far from the line, as a share of the range and of the largest: it bends
-NO_SLOPE = 3.0      # a slope of fewer standard errors is none, where the figure does not vary by half
+BEND = 0.05  # a point so far from the line, as a share of the range and of the largest: it bends
+NO_SLOPE = 3.0  # a slope of fewer standard errors is none, where the figure does not vary by half
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +57,6 @@
     slope, intercept, error = _least_squares(xs, ys)
     off = max(abs(y - intercept - slope * x) for x, y in zip(xs, ys, strict=True))
     spread, most = max(ys) - min(ys), max(map(abs, ys))
-    flat = abs(slope) < NO_SLOPE * error and spread < most / 2.0        # noise about a constant
+    flat = abs(slope) < NO_SLOPE * error and spread < most / 2.0  # noise about a constant
     bend = off > BEND * spread and off > BEND * most and not flat
     return Line(slope, intercept, error, bend, growth(xs, ys), max(xs))
--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -101,8 +101,9 @@
                 timer.cancel()
 
 
-def made(name: str, lists: str, loop: asyncio.AbstractEventLoop, senders: int, fleet: bool,
-         seed: int) -> Hollow:
+def made(
+    name: str, lists: str, loop: asyncio.AbstractEventLoop, senders: int, fleet: bool, seed: int
+) -> Hollow:
     raw = site.sender(name, "127.0.0.1:9", "127.0.0.1:9", lists, "/", seed, {}, senders)
     config, make = decode(raw, {}), None
     if fleet:
@@ -127,10 +128,18 @@
     if collected:
         gc.collect()
     listed = Counter(node.listed() for node in nodes)
-    return {"cpu_s": spent_s, "bytes": memory(), "acted": acted,
-            "listed": [[*each, many] for each, many in listed.items()],
-            "trail": sum(len(data) for node in nodes for name, data in node._machine.disk.files.items()
-                         if name.startswith("trail-"))}
+    return {
+        "cpu_s": spent_s,
+        "bytes": memory(),
+        "acted": acted,
+        "listed": [[*each, many] for each, many in listed.items()],
+        "trail": sum(
+            len(data)
+            for node in nodes
+            for name, data in node._machine.disk.files.items()
+            if name.startswith("trail-")
+        ),
+    }
 
 
 async def serve(told: argparse.Namespace) -> None:
@@ -138,10 +147,12 @@
     reader = asyncio.StreamReader()
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     while asked := await reader.readline():
-        (word, number), = json.loads(asked).items()
+        ((word, number),) = json.loads(asked).items()
         if word == "start":
-            fresh = [made(f"h{os.getpid()}-{at}", told.lists, loop, told.senders, told.fleet, at)
-                     for at in range(many, many + number)]
+            fresh = [
+                made(f"h{os.getpid()}-{at}", told.lists, loop, told.senders, told.fleet, at)
+                for at in range(many, many + number)
+            ]
             many += number
             nodes += fresh
             await asyncio.gather(*(node.start() for node in fresh))
@@ -164,9 +175,12 @@
 
     async def __aenter__(self) -> Hosts:
         for _ in range(self._many):
-            self._processes.append(await asyncio.create_subprocess_exec(
-                *self._words, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=1 << 24))
-        await self.report()                     # all are up
+            self._processes.append(
+                await asyncio.create_subprocess_exec(
+                    *self._words, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=1 << 24
+                )
+            )
+        await self.report()  # all are up
         return self
 
     async def __aexit__(self, *problem: object) -> None:
@@ -179,6 +193,7 @@
         async def one(process, word: dict) -> dict:
             process.stdin.write(json.dumps(word).encode() + b"\n")
             return json.loads(await asyncio.wait_for(process.stdout.readline(), 120.0))
+
         return await asyncio.gather(*map(one, self._processes, words))
 
     def _shares(self, word: str, number: int) -> list[dict]:
@@ -204,8 +219,13 @@
                 acted[int(version)] = had[0] + many, max(had[1], last)
             for *what, many in each["listed"]:
                 listed[tuple(what)] += many
-        return {"cpu_s": sum(each["cpu_s"] for each in told), "bytes": sum(each["bytes"] for each in told),
-                "trail": sum(each["trail"] for each in told), "acted": acted, "listed": listed}
+        return {
+            "cpu_s": sum(each["cpu_s"] for each in told),
+            "bytes": sum(each["bytes"] for each in told),
+            "trail": sum(each["trail"] for each in told),
+            "acted": acted,
+            "listed": listed,
+        }
 
     async def until(self, version: int, many: int, within_s: float = 60.0) -> tuple[dict, float]:
         """Waits until so many acted on a version; the report, and when the last one did (monotonic)."""
--- a/benchmarks/capacity/keepers.py
+++ b/benchmarks/capacity/keepers.py
@@ -16,11 +16,15 @@
 from birchstack.keeper.store import Store
 
 NAME = "keepers"
-RECORDS = 120_000                       # in all, whatever the senders
+RECORDS = 120_000  # in all, whatever the senders
 POINTS, SMALL = (10, 50, 150, 350, 550), (2, 4, 8)
-PIECE = 200                             # records in one answer
-FIGURES = {"records": "a CPU second", "records by the clock": "a second", "store": "bytes a record",
-           "sent to it": "bytes a record"}
+PIECE = 200  # records in one answer
+FIGURES = {
+    "records": "a CPU second",
+    "records by the clock": "a second",
+    "store": "bytes a record",
+    "sent to it": "bytes a record",
+}
 
 
 def pieces(sender: int, records: int) -> tuple[list[wire.Piece], int]:
@@ -34,9 +38,21 @@
         frames.append(data)
         size += len(data)
         if len(frames) == PIECE or number == records + 2:
-            made.append(wire.Piece(name=f"n{sender}", process="p", boot="b", trail=f"t{sender}", life="l",
-                                   wall_ms=1.0 + number, steady_ms=1.0 + number, last=number, chain=chain,
-                                   versions={LIST: held}, frames=b"".join(frames)))
+            made.append(
+                wire.Piece(
+                    name=f"n{sender}",
+                    process="p",
+                    boot="b",
+                    trail=f"t{sender}",
+                    life="l",
+                    wall_ms=1.0 + number,
+                    steady_ms=1.0 + number,
+                    last=number,
+                    chain=chain,
+                    versions={LIST: held},
+                    frames=b"".join(frames),
+                )
+            )
             frames = []
     return made, size
 
@@ -60,8 +76,12 @@
             raise ValueError(f"{taken} records in the store of {(each + 2) * senders}")
         store.close()
         disk = sum(os.path.getsize(f"{folder}/{name}") for name in os.listdir(folder))
-    return {"records": taken / cpu_s, "records by the clock": taken / clock_s, "store": disk / taken,
-            "sent to it": size / taken}
+    return {
+        "records": taken / cpu_s,
+        "records by the clock": taken / clock_s,
+        "store": disk / taken,
+        "sent to it": size / taken,
+    }
 
 
 def measure(points: tuple[int, ...]) -> list[tuple[float, dict[str, float]]]:
--- a/benchmarks/capacity/list_size.py
+++ b/benchmarks/capacity/list_size.py
@@ -17,10 +17,18 @@
 NAME = "list-size"
 CHANGES, SPACE_S, REFUSED_S = 50, 0.02, 4.0
 POINTS, SMALL = (3000, 8000, 13000, 18000, 24000, 36000), (500, 1000, 2000, 4000)
-FIGURES = {"whole list": "bytes", "a listed endpoint": "bytes", "adopting: CPU": "s",
-           "adopting: memory": "bytes", "a change: bytes": "bytes", "a change: CPU": "s",
-           "a change with a trail: CPU": "s", "refused: bytes": "bytes a second", "refused: asks": "a second",
-           "refused: CPU of a sender": "cores"}
+FIGURES = {
+    "whole list": "bytes",
+    "a listed endpoint": "bytes",
+    "adopting: CPU": "s",
+    "adopting: memory": "bytes",
+    "a change: bytes": "bytes",
+    "a change: CPU": "s",
+    "a change with a trail: CPU": "s",
+    "refused: bytes": "bytes a second",
+    "refused: asks": "a second",
+    "refused: CPU of a sender": "cores",
+}
 
 
 async def _refused(service: ListService, hosts: Hosts) -> dict[str, float]:
@@ -33,8 +41,11 @@
     told = await hosts.report()
     if [listed for listed, *_ in told["listed"]] != [0]:
         raise ValueError("a list beyond the bound was adopted")
-    return {"refused: bytes": spent.many("bytes out") / spent.seconds, "refused: CPU of a sender":
-            spent.cpu_s / spent.seconds, "refused: asks": (len(service.asks) - asks) / spent.seconds}
+    return {
+        "refused: bytes": spent.many("bytes out") / spent.seconds,
+        "refused: CPU of a sender": spent.cpu_s / spent.seconds,
+        "refused: asks": (len(service.asks) - asks) / spent.seconds,
+    }
 
 
 async def point(listed: int, fleet: bool) -> dict[str, float]:
@@ -74,5 +85,7 @@
 
 
 def measure(points: tuple[int, ...]) -> list[tuple[float, dict[str, float]]]:
-    return [(float(each), {**asyncio.run(point(each, True)), **asyncio.run(point(each, False))})
-            for each in points]
+    return [
+        (float(each), {**asyncio.run(point(each, True)), **asyncio.run(point(each, False))})
+        for each in points
+    ]
--- a/benchmarks/capacity/listed.py
+++ b/benchmarks/capacity/listed.py
@@ -17,23 +17,37 @@
 SMALL = (250, 500, 1_000, 2_000)
 EACH = {1: "one endpoint", 3: "three endpoints"}
 IDLE_S, SMALL_IDLE_S = 4.0, 0.5
-FIGURES = {f"{figure}, {each}": unit for each in EACH.values() for figure, unit in {
-    "memory": "bytes", "peak memory": "bytes", "list": "bytes", "CPU until ready": "s",
-    "time until ready": "s", "idle CPU": "cores"}.items()}
+FIGURES = {
+    f"{figure}, {each}": unit
+    for each in EACH.values()
+    for figure, unit in {
+        "memory": "bytes",
+        "peak memory": "bytes",
+        "list": "bytes",
+        "CPU until ready": "s",
+        "time until ready": "s",
+        "idle CPU": "cores",
+    }.items()
+}
 
 
 async def point(listed: int, each: int, idle_s: float) -> dict[str, float]:
     async with stand.Stand(listed, each) as world:
         wall_s = await world.start()
-        cpu_s, more_s = await world.settled()   # what of the list came in parts behind the first
+        cpu_s, more_s = await world.settled()  # what of the list came in parts behind the first
         idle = await world.idle_share(idle_s)
         memory = world.memory()
         known = (await world.figures())["balancer.pool_size"]
         if known != listed * each:
             raise RuntimeError(f"{known:g} of {listed * each} endpoints are known")
-        measured = {"memory": memory["resident"], "peak memory": memory["peak"], "idle CPU": idle,
-                    "list": len(stand.text(1, True, world.targets)), "CPU until ready": cpu_s,
-                    "time until ready": wall_s + more_s}
+        measured = {
+            "memory": memory["resident"],
+            "peak memory": memory["peak"],
+            "idle CPU": idle,
+            "list": len(stand.text(1, True, world.targets)),
+            "CPU until ready": cpu_s,
+            "time until ready": wall_s + more_s,
+        }
         return {f"{figure}, {EACH[each]}": value for figure, value in measured.items()}
 
 
@@ -50,12 +64,21 @@
 
 def notes(points: tuple[int, ...]) -> dict:
     """Of lists told in one line: which were taken; most: by the bytes that a line may have."""
+
     async def tried() -> dict[str, bool]:
-        return {f"{listed} destinations, {EACH[each]}": await accepts(listed, each)
-                for listed in points[-2:] for each in EACH}
+        return {
+            f"{listed} destinations, {EACH[each]}": await accepts(listed, each)
+            for listed in points[-2:]
+            for each in EACH
+        }
+
     entry = len(stand.text(1, True, stand.whole_list(1000, 1, ["127.0.7.1:23000"]))) / 1000.0
-    return {"most bytes of a line": MOST_LIST, "bytes an endpoint": entry,
-            "most endpoints": MOST_LIST // entry, "taken in one line": asyncio.run(tried())}
+    return {
+        "most bytes of a line": MOST_LIST,
+        "bytes an endpoint": entry,
+        "most endpoints": MOST_LIST // entry,
+        "taken in one line": asyncio.run(tried()),
+    }
 
 
 def measure(points: tuple[int, ...]) -> list[tuple[float, dict[str, float]]]:
@@ -64,4 +87,5 @@
     async def both(listed: int) -> dict[str, float]:
         one, three = await asyncio.gather(*(point(listed, each, idle_s) for each in EACH))
         return {**one, **three}
+
     return [(listed, asyncio.run(both(listed))) for listed in points]
--- a/benchmarks/capacity/listing.py
+++ b/benchmarks/capacity/listing.py
@@ -12,7 +12,7 @@
 import time
 from collections import Counter
 
-BEAT_S = 2.0                            # as the platform's agent: an empty line so often
+BEAT_S = 2.0  # as the platform's agent: an empty line so often
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ZONES = tuple(f"region-{1 + at % 3}{'abcd'[at // 3]}" for at in range(11))
 
@@ -20,9 +20,16 @@
 def entry(at: int, per_destination: int = 1, state: str = "active") -> dict:
     """One line of a list, with names as long as real ones."""
     where = f"127.{100 + at // 62500}.{at // 250 % 250}.{1 + at % 250}:7400"
-    return {"uid": f"s-{0x5be2a07c ^ at * 2654435761 & 0xFFFFFFFF:08x}", "endpoint": where,
-            "az": ZONES[at % 11], "model": "partner", "pod_group": 1 + at // per_destination, "state": state,
-            "capacity_hint": 1.0, "boot_ms": 0}
+    return {
+        "uid": f"s-{0x5BE2A07C ^ at * 2654435761 & 0xFFFFFFFF:08x}",
+        "endpoint": where,
+        "az": ZONES[at % 11],
+        "model": "partner",
+        "pod_group": 1 + at // per_destination,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
+    }
 
 
 def line(told: dict) -> bytes:
@@ -116,7 +123,7 @@
         if not 0 < after <= self.rev:
             watcher.write(HEAD + self.whole())
         elif after < self.rev:
-            last = {each["uid"]: each for each in self._log[after - self.rev:]}
+            last = {each["uid"]: each for each in self._log[after - self.rev :]}
             watcher.write(HEAD + chunk(line({"rev": self.rev, "all": False, "targets": [*last.values()]})))
         else:
             watcher.write(HEAD)
@@ -124,8 +131,13 @@
     def most_asks(self, since: float, within_s: float = 0.1) -> int:
         """The most watches asked for within such a time."""
         times = sorted(at for at, _ in self.asks if at >= since)
-        return max((sum(at <= each < at + within_s for each in times[place:place + 1000])
-                    for place, at in enumerate(times)), default=0)
+        return max(
+            (
+                sum(at <= each < at + within_s for each in times[place : place + 1000])
+                for place, at in enumerate(times)
+            ),
+            default=0,
+        )
 
     def _beat(self, loop: asyncio.AbstractEventLoop) -> None:
         for each in [*self.watchers]:
--- a/benchmarks/capacity/lists.py
+++ b/benchmarks/capacity/lists.py
@@ -21,18 +21,29 @@
 LISTED, PROCESSES, QUIET_S, BURST, ZONE, SETTLE_S = 500, 4, 8.0, 100, 50, 1.5
 POINTS, SMALL = (100, 200, 350, 550), (8, 16, 32)
 FIGURES = {
-    "start: bytes": "bytes the service writes", "start: messages": "messages both ways",
-    "start: until all act": "s", "start: most asks in 100 ms": "watches asked for",
-    "start: CPU of the service": "s", "start: CPU of a sender": "s",
-    "quiet: bytes": "bytes a second both ways", "quiet: messages": "messages a second both ways",
-    "quiet: CPU of the service": "cores", "quiet: CPU of a sender": "cores",
-    "change: bytes": "bytes both ways", "change: messages": "messages both ways",
+    "start: bytes": "bytes the service writes",
+    "start: messages": "messages both ways",
+    "start: until all act": "s",
+    "start: most asks in 100 ms": "watches asked for",
+    "start: CPU of the service": "s",
+    "start: CPU of a sender": "s",
+    "quiet: bytes": "bytes a second both ways",
+    "quiet: messages": "messages a second both ways",
+    "quiet: CPU of the service": "cores",
+    "quiet: CPU of a sender": "cores",
+    "change: bytes": "bytes both ways",
+    "change: messages": "messages both ways",
     "change: until all act": "s",
-    "burst of 100: bytes": "bytes both ways", "burst of 100: until all act": "s",
-    "burst of 100: CPU of the service": "s", "burst of 100: CPU of a sender": "s",
-    "zone starts: bytes": "bytes the service writes", "zone starts: until all act": "s",
-    "watches end: most asks in 100 ms": "watches asked for", "watches end: until all act": "s",
-    "watches end: bytes": "bytes both ways"}
+    "burst of 100: bytes": "bytes both ways",
+    "burst of 100: until all act": "s",
+    "burst of 100: CPU of the service": "s",
+    "burst of 100: CPU of a sender": "s",
+    "zone starts: bytes": "bytes the service writes",
+    "zone starts: until all act": "s",
+    "watches end: most asks in 100 ms": "watches asked for",
+    "watches end: until all act": "s",
+    "watches end: bytes": "bytes both ways",
+}
 
 
 class Spent:
@@ -127,5 +138,7 @@
 
 def measure(points: tuple[int, ...]) -> list[tuple[float, dict[str, float]]]:
     small = max(points) <= max(SMALL)
-    return [(float(each), asyncio.run(point(each, 0.5 if small else QUIET_S, 4 if small else ZONE)))
-            for each in points]
+    return [
+        (float(each), asyncio.run(point(each, 0.5 if small else QUIET_S, 4 if small else ZONE)))
+        for each in points
+    ]
--- a/benchmarks/capacity/record.py
+++ b/benchmarks/capacity/record.py
@@ -11,15 +11,19 @@
 
 from benchmarks.capacity import fit
 
-Row = tuple[float, dict[str, float]]        # x, and each figure measured there
+Row = tuple[float, dict[str, float]]  # x, and each figure measured there
 
 
 def machine() -> dict:
     with open("/proc/cpuinfo", encoding="utf-8") as file:
         models = [line.partition(":")[2].strip() for line in file if line.startswith("model name")]
-    return {"cpu": models[0] if models else platform.machine(), "cores": os.cpu_count(),
-            "memory_bytes": os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES"),
-            "python": platform.python_version(), "kernel": platform.release()}
+    return {
+        "cpu": models[0] if models else platform.machine(),
+        "cores": os.cpu_count(),
+        "memory_bytes": os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES"),
+        "python": platform.python_version(),
+        "kernel": platform.release(),
+    }
 
 
 def columns(rows: list[Row]) -> dict[str, tuple[list[float], list[float]]]:
@@ -40,11 +44,18 @@
 
 def record(name: str, units: dict[str, str], rows: list[Row], command: str) -> dict:
     """units: of each figure. Every figure measured has one; raises KeyError else."""
-    told = {figure: {**dataclasses.asdict(each), "unit": units[figure]}
-            for figure, each in lines(rows).items()}
-    return {"slope": name, "taken": time.strftime("%Y-%m-%d %H:%M", time.gmtime()), "machine": machine(),
-            "command": command, "units": {figure: units[figure] for figure in columns(rows)},
-            "points": [[x, figures] for x, figures in rows], "lines": told}
+    told = {
+        figure: {**dataclasses.asdict(each), "unit": units[figure]} for figure, each in lines(rows).items()
+    }
+    return {
+        "slope": name,
+        "taken": time.strftime("%Y-%m-%d %H:%M", time.gmtime()),
+        "machine": machine(),
+        "command": command,
+        "units": {figure: units[figure] for figure in columns(rows)},
+        "points": [[x, figures] for x, figures in rows],
+        "lines": told,
+    }
 
 
 def write(path: Path, told: dict | list[dict]) -> None:
@@ -59,6 +70,8 @@
         text.append(f"  {x:>12,g}  " + "; ".join(f"{name} {value:,.4g}" for name, value in figures.items()))
     for name, each in told["lines"].items():
         growth = "" if each["growth"] is None else f", grows as x^{each['growth']:.2f}"
-        text.append(f"  {name}: {each['intercept']:,.6g} + {each['slope']:,.6g} (error {each['error']:.2g})"
-                    f" x [{each['unit']}]{growth}{', BENDS' if each['bend'] else ''}")
+        text.append(
+            f"  {name}: {each['intercept']:,.6g} + {each['slope']:,.6g} (error {each['error']:.2g})"
+            f" x [{each['unit']}]{growth}{', BENDS' if each['bend'] else ''}"
+        )
     return "\n".join(text)
--- a/benchmarks/capacity/repeats_down.py
+++ b/benchmarks/capacity/repeats_down.py
@@ -18,5 +18,6 @@
 
 def measure(points: tuple[int, ...]) -> list[tuple[float, dict[str, float]]]:
     with ProcessPoolExecutor(repeats.SEEDS) as pool:
-        return [(float(each), repeats.point(SENDERS, each / DESTINATIONS, repeats.SEEDS, pool))
-                for each in points]
+        return [
+            (float(each), repeats.point(SENDERS, each / DESTINATIONS, repeats.SEEDS, pool)) for each in points
+        ]
--- a/benchmarks/capacity/repeats_partly.py
+++ b/benchmarks/capacity/repeats_partly.py
@@ -17,12 +17,19 @@
 
 NAME = "repeats-partly"
 PLAYED, ENDPOINTS = 20, 3
-MINUTES = ((0, 5), (5, 15), (15, 30))   # since the loss
+MINUTES = ((0, 5), (5, 15), (15, 30))  # since the loss
 POINTS, SMALL = (20, 60, 120, 240, 550), (120, 240, 480)
-FIGURES = {f"minutes {since} to {until}: {what}": unit for since, until in MINUTES for what, unit in {
-    "given up": "of the documents", "repeats for each first try": "over all destinations",
-    "bucket empty": "of the destinations", "share of all holds repeats back": "of the time",
-    "calls to the lost endpoint": "a document"}.items()}
+FIGURES = {
+    f"minutes {since} to {until}: {what}": unit
+    for since, until in MINUTES
+    for what, unit in {
+        "given up": "of the documents",
+        "repeats for each first try": "over all destinations",
+        "bucket empty": "of the destinations",
+        "share of all holds repeats back": "of the time",
+        "calls to the lost endpoint": "a document",
+    }.items()
+}
 
 
 def play(senders: int, seed: int) -> list[Seen]:
@@ -36,12 +43,16 @@
     parts, got = [*(pool.map if pool else map)(partial(play, senders), range(seeds))], {}
     for at, (since, until) in enumerate(MINUTES):
         seen = added([part[at] for part in parts])
-        got.update((f"minutes {since} to {until}: {what}", value) for what, value in (
-            ("given up", seen.given_up / seen.documents),
-            ("repeats for each first try", seen.all_repeats / seen.all_firsts),
-            ("bucket empty", seen.bucket / seen.looks / seen.down),
-            ("share of all holds repeats back", seen.share / seen.looks),
-            ("calls to the lost endpoint", seen.sent / seen.documents)))
+        got.update(
+            (f"minutes {since} to {until}: {what}", value)
+            for what, value in (
+                ("given up", seen.given_up / seen.documents),
+                ("repeats for each first try", seen.all_repeats / seen.all_firsts),
+                ("bucket empty", seen.bucket / seen.looks / seen.down),
+                ("share of all holds repeats back", seen.share / seen.looks),
+                ("calls to the lost endpoint", seen.sent / seen.documents),
+            )
+        )
     return got
 
 
--- a/benchmarks/capacity/spread.py
+++ b/benchmarks/capacity/spread.py
@@ -17,16 +17,24 @@
 NAME = "spread"
 POINTS = (20, 200, 2_000, 36_000)
 SMALL = (20, 100, 400, 800)
-OFFERED = 1018.0                        # a second, of one sender at the target
-UNDER_WAY = 256                         # documents without an answer at most: the sender sets the pace then
-SECONDS, FIRST = 4.0, 800               # measured so long, after so many documents: the pool is as it stays
-LAST = 1_500                            # documents, with all listed
+OFFERED = 1018.0  # a second, of one sender at the target
+UNDER_WAY = 256  # documents without an answer at most: the sender sets the pace then
+SECONDS, FIRST = 4.0, 800  # measured so long, after so many documents: the pool is as it stays
+LAST = 1_500  # documents, with all listed
 SMALL_MANY = 300
-FIGURES = {f"{figure}{listed}": unit for listed in ("", ", all listed") for figure, unit in {
-    "documents a CPU second": "1/s", "CPU a document": "s", "taken on a second": "1/s",
-    "connections opened a document": "1", "connections open": "connections",
-    "connections of an endpoint, all senders": "connections",
-    "connections opened at an endpoint a second, all senders": "1/s"}.items()}
+FIGURES = {
+    f"{figure}{listed}": unit
+    for listed in ("", ", all listed")
+    for figure, unit in {
+        "documents a CPU second": "1/s",
+        "CPU a document": "s",
+        "taken on a second": "1/s",
+        "connections opened a document": "1",
+        "connections open": "connections",
+        "connections of an endpoint, all senders": "connections",
+        "connections opened at an endpoint a second, all senders": "1/s",
+    }.items()
+}
 
 
 async def point(spread: int, listed: int, many: int, first: int, rate: float) -> dict[str, float]:
@@ -44,12 +52,18 @@
         if world.answered[202] != first + many or world.calls < first + many:
             raise RuntimeError(f"{first + many} documents, {world.calls} calls: {dict(world.answered)}")
         dialled = (world.opened - opened) / many
-        return {"documents a CPU second": many / spent, "CPU a document": spent / many,
-                "taken on a second": many / took_s, "connections opened a document": dialled,
-                "connections open": world.open,
-                "connections of an endpoint, all senders": world.open * stand.SENDERS / spread,
-                "connections opened at an endpoint a second, all senders":
-                    dialled * OFFERED * stand.SENDERS / spread}
+        return {
+            "documents a CPU second": many / spent,
+            "CPU a document": spent / many,
+            "taken on a second": many / took_s,
+            "connections opened a document": dialled,
+            "connections open": world.open,
+            "connections of an endpoint, all senders": world.open * stand.SENDERS / spread,
+            "connections opened at an endpoint a second, all senders": dialled
+            * OFFERED
+            * stand.SENDERS
+            / spread,
+        }
 
 
 def measure(points: tuple[int, ...]) -> list[tuple[float, dict[str, float]]]:
@@ -58,7 +72,10 @@
     rows = []
     for spread in points:
         measured = asyncio.run(point(spread, spread, many, first, rate))
-        every = measured if spread == points[-1] else asyncio.run(point(spread, points[-1], LAST if full else
-                                                                        many, first, rate))
+        every = (
+            measured
+            if spread == points[-1]
+            else asyncio.run(point(spread, points[-1], LAST if full else many, first, rate))
+        )
         rows.append((spread, {**measured, **{f"{name}, all listed": value for name, value in every.items()}}))
     return rows
--- a/benchmarks/capacity/stand.py
+++ b/benchmarks/capacity/stand.py
@@ -20,20 +20,30 @@
 from pathlib import Path
 
 OK, REFUSES = 200, 503
-PLACES = 16                             # addresses of endpoints: no local port has to be used twice
-PART = 20_000                           # endpoints in a line of the list; a line may have 4 MiB
-DAYS_MS = 2 * 86_400_000                # what is owed here does not end while it is measured
+PLACES = 16  # addresses of endpoints: no local port has to be used twice
+PART = 20_000  # endpoints in a line of the list; a line may have 4 MiB
+DAYS_MS = 2 * 86_400_000  # what is owed here does not end while it is measured
 SENDERS = 550
 BODY = b"x" * 200
 PORTS = itertools.count(23000 + os.getpid() % 499 * 16)
-HEAD = (b"POST /sync HTTP/1.1\r\nHost: api\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: %d\r\n"
-        b"X-Consignee: dest=%d\r\nContent-Length: %d\r\n\r\n")
+HEAD = (
+    b"POST /sync HTTP/1.1\r\nHost: api\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: %d\r\n"
+    b"X-Consignee: dest=%d\r\nContent-Length: %d\r\n\r\n"
+)
 
 
 def entry(destination: int, at: int, place: str) -> dict:
     """One line of the list, in discovery's form."""
-    return {"uid": f"s-{destination:06x}{at:02x}", "endpoint": place, "az": f"z{destination % 11}",
-            "model": "shop", "pod_group": destination, "state": "active", "capacity_hint": 1.0, "boot_ms": 0}
+    return {
+        "uid": f"s-{destination:06x}{at:02x}",
+        "endpoint": place,
+        "az": f"z{destination % 11}",
+        "model": "shop",
+        "pod_group": destination,
+        "state": "active",
+        "capacity_hint": 1.0,
+        "boot_ms": 0,
+    }
 
 
 def text(rev: int, whole: bool, targets: list[dict]) -> bytes:
@@ -41,25 +51,49 @@
 
 
 def whole_list(listed: int, each: int, places: list[str]) -> list[dict]:
-    return [entry(destination, at, places[(destination + at) % len(places)])
-            for destination in range(1, listed + 1) for at in range(each)]
+    return [
+        entry(destination, at, places[(destination + at) % len(places)])
+        for destination in range(1, listed + 1)
+        for at in range(each)
+    ]
 
 
 def in_parts(targets: list[dict], part: int = PART) -> list[bytes]:
     """A list that is longer than one line may be comes as a whole list and changes to it."""
-    return [text(at + 1, at == 0, targets[start:start + part])
-            for at, start in enumerate(range(0, max(1, len(targets)), part))]
+    return [
+        text(at + 1, at == 0, targets[start : start + part])
+        for at, start in enumerate(range(0, max(1, len(targets)), part))
+    ]
 
 
 def settings(**limits: float) -> dict:
     return {
-        "domain": {"callsOut": 64}, "nInstances": SENDERS, "registryMode": "pushed", "hostTypes": ["shop"],
-        "limits": {"connIdleMs": 10000.0, "dialTimeoutMs": 1000.0, "maxOpen": 20_000_000,
-                   "maxRetryAfterMs": 3000.0, "retryAfter": True, "sendCap": 1_000_000, "streamsPerConn": 1,
-                   **limits},
+        "domain": {"callsOut": 64},
+        "nInstances": SENDERS,
+        "registryMode": "pushed",
+        "hostTypes": ["shop"],
+        "limits": {
+            "connIdleMs": 10000.0,
+            "dialTimeoutMs": 1000.0,
+            "maxOpen": 20_000_000,
+            "maxRetryAfterMs": 3000.0,
+            "retryAfter": True,
+            "sendCap": 1_000_000,
+            "streamsPerConn": 1,
+            **limits,
+        },
         "rules": {"answerSlackMs": 20.0, "coldFrom": 0.3, "warmUpMs": 1000.0},
-        "services": [{"name": "sync", "effect": "safe", "objectiveMs": 2000.0, "deadlineMs": DAYS_MS,
-                      "importance": 1.0, "lateShare": 0.4}]}
+        "services": [
+            {
+                "name": "sync",
+                "effect": "safe",
+                "objectiveMs": 2000.0,
+                "deadlineMs": DAYS_MS,
+                "importance": 1.0,
+                "lateShare": 0.4,
+            }
+        ],
+    }
 
 
 def free_port() -> int:
@@ -85,10 +119,10 @@
         while (end := self._held.find(b"\r\n\r\n")) >= 0:
             head = self._held[:end]
             at = head.lower().find(b"content-length:")
-            size = int(head[at + 15:].split(b"\r\n", 1)[0]) if at >= 0 else 0
+            size = int(head[at + 15 :].split(b"\r\n", 1)[0]) if at >= 0 else 0
             if len(self._held) < end + 4 + size:
                 return
-            body, self._held = self._held[end + 4:end + 4 + size], self._held[end + 4 + size:]
+            body, self._held = self._held[end + 4 : end + 4 + size], self._held[end + 4 + size :]
             self.asked(head, body)
 
 
@@ -156,8 +190,9 @@
 class Stand:
     """A sender's whole surrounding. `async with Stand(listed, each) as stand: await stand.start()`."""
 
-    def __init__(self, listed: int, each: int = 1, status: int = OK, part: int = PART,
-                 **limits: float) -> None:
+    def __init__(
+        self, listed: int, each: int = 1, status: int = OK, part: int = PART, **limits: float
+    ) -> None:
         self._listed, self._each, self._part, self._limits = listed, each, part, limits
         self.status, self.lines = status, []
         self.opened = self.open = self.calls = self.notices = 0
@@ -174,8 +209,9 @@
         platform = await loop.create_server(lambda: Platform(self), "127.0.0.1", 0)
         self._servers, places = [platform], []
         for at in range(PLACES):
-            self._servers.append(await loop.create_server(
-                lambda: Endpoint(self), f"127.0.7.{at + 1}", 0, backlog=1024))
+            self._servers.append(
+                await loop.create_server(lambda: Endpoint(self), f"127.0.7.{at + 1}", 0, backlog=1024)
+            )
             places.append("{}:{}".format(*self._servers[-1].sockets[0].getsockname()))
         self.targets = whole_list(self._listed, self._each, places)
         self.lines = in_parts(self.targets, self._part)
@@ -196,15 +232,30 @@
         """Returns the seconds until it said that it is ready."""
         self.port, self.ops = free_port(), free_port()
         path = Path(self._folder.name) / "config.json"
-        path.write_text(json.dumps({
-            "name": "n1", "listen": f"127.0.0.1:{self.port}", "discovery": self._agent, "seed": "8c1f",
-            "ops": f"127.0.0.1:{self.ops}", "state": str(self.state),
-            "limits": {"sockets": 1024, "disk_mb": 8000},
-            "known": {"rev": 0, "all": True, "targets": []}, "settings": settings(**self._limits)}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n1",
+                    "listen": f"127.0.0.1:{self.port}",
+                    "discovery": self._agent,
+                    "seed": "8c1f",
+                    "ops": f"127.0.0.1:{self.ops}",
+                    "state": str(self.state),
+                    "limits": {"sockets": 1024, "disk_mb": 8000},
+                    "known": {"rev": 0, "all": True, "targets": []},
+                    "settings": settings(**self._limits),
+                }
+            )
+        )
         began = time.monotonic()
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "birchstack", stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "BALANCER_CONFIG": str(path)})
+            sys.executable,
+            "-O",
+            "-m",
+            "birchstack",
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(path)},
+        )
         said = asyncio.get_running_loop().create_future()
         self._hears = asyncio.create_task(self._hear(said))
         await asyncio.wait_for(said, within_s)
@@ -230,8 +281,9 @@
     def memory(self) -> dict[str, int]:
         """Bytes: resident, whoever else maps the same libraries, and the most it ever held."""
         lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
-        found = {line.partition(":")[0]: int(line.split()[1]) * 1024
-                 for line in lines if line.endswith(" kB")}
+        found = {
+            line.partition(":")[0]: int(line.split()[1]) * 1024 for line in lines if line.endswith(" kB")
+        }
         return {"resident": found["VmRSS"], "peak": found["VmHWM"]}
 
     async def settled(self, share: float = 0.05, within_s: float = 60.0) -> tuple[float, float]:
@@ -262,15 +314,18 @@
 
     # Its clients
 
-    async def offer(self, destinations: list[int], connections: int = 64, rate: float = 0.0,
-                    under_way: int = 0) -> float:
+    async def offer(
+        self, destinations: list[int], connections: int = 64, rate: float = 0.0, under_way: int = 0
+    ) -> float:
         """Hands in one document for each destination named, in their order, over so many connections, and
         again after a no, as clients do; rate: so many a second at most, else each once the last of its
         connection was answered; under_way: so many at most that no endpoint has answered yet (0: no bound).
         Returns the seconds that it took. `answered` counts what was said."""
         loop, numbers = asyncio.get_running_loop(), iter(enumerate(destinations))
-        clients = [(await loop.create_connection(Client, "127.0.0.1", self.port))[1]
-                   for _ in range(min(connections, len(destinations)))]
+        clients = [
+            (await loop.create_connection(Client, "127.0.0.1", self.port))[1]
+            for _ in range(min(connections, len(destinations)))
+        ]
         self._clients, first = clients, self._next
         self._next += len(destinations)
         began = time.monotonic()
@@ -283,14 +338,15 @@
                     await asyncio.sleep(0.002)
                 doc, status = b"d%09d" % (first + at), 0
                 while status != 202:
-                    if client.lost:             # it lay idle for too long, or is told to come again
+                    if client.lost:  # it lay idle for too long, or is told to come again
                         _, client = await loop.create_connection(Client, "127.0.0.1", self.port)
                         self._clients.append(client)
                     status = await client.hand(doc, destination)
                     self.answered[status] += 1
-                    if status != 202:           # its id is answered the same again
+                    if status != 202:  # its id is answered the same again
                         doc += b"a"
                         await asyncio.sleep(0.05)
+
         await asyncio.gather(*map(work, [*clients]))
         took = time.monotonic() - began
         for client in clients:
--- a/benchmarks/capacity/turn.py
+++ b/benchmarks/capacity/turn.py
@@ -25,17 +25,31 @@
 from birchstack.net.sender import Node
 
 NAME = "turn"
-LISTED, DOWN = 36_000, 1_692           # of the target
+LISTED, DOWN = 36_000, 1_692  # of the target
 TO_ALL = (4_500, 9_000, 18_000, 36_000)
-POINTS = {"listed": TO_ALL, "listed, 4.7% down": TO_ALL, "down": (211, 423, 846, 1_692), "owed": TO_ALL,
-          "handed together": (16, 32, 64, 128), "notices": TO_ALL, "idle": (60, 120, 240, 480),
-          "list": (2_250, 4_500, 9_000, 18_000)}
-SMALL = {"listed": (64, 128, 256, 512), "listed, 4.7% down": (64, 128, 256, 512), "down": (8, 16, 32, 64),
-         "owed": (64, 128, 256, 512), "handed together": (16, 32, 64, 128), "notices": (64, 128, 256, 512),
-         "idle": (60, 120, 240, 480), "list": (128, 256, 512, 1_024)}
-BESIDE = 4                              # destinations down where they don't vary, two documents owed to each
-REPEATS, MOST_S = 5, 0.5                # of an action whose CPU is taken; no further one after so long
-TOGETHER = 64                           # documents taken on in a turn, while what is owed is made ready
+POINTS = {
+    "listed": TO_ALL,
+    "listed, 4.7% down": TO_ALL,
+    "down": (211, 423, 846, 1_692),
+    "owed": TO_ALL,
+    "handed together": (16, 32, 64, 128),
+    "notices": TO_ALL,
+    "idle": (60, 120, 240, 480),
+    "list": (2_250, 4_500, 9_000, 18_000),
+}
+SMALL = {
+    "listed": (64, 128, 256, 512),
+    "listed, 4.7% down": (64, 128, 256, 512),
+    "down": (8, 16, 32, 64),
+    "owed": (64, 128, 256, 512),
+    "handed together": (16, 32, 64, 128),
+    "notices": (64, 128, 256, 512),
+    "idle": (60, 120, 240, 480),
+    "list": (128, 256, 512, 1_024),
+}
+BESIDE = 4  # destinations down where they don't vary, two documents owed to each
+REPEATS, MOST_S = 5, 0.5  # of an action whose CPU is taken; no further one after so long
+TOGETHER = 64  # documents taken on in a turn, while what is owed is made ready
 DAY_MS = 86_400_000.0
 TYPE = our.DocumentType("sync", our.REPLAYABLE, 2000.0, 2 * DAY_MS, 1.0, 0.4, False, 0.0, False)
 
@@ -80,10 +94,22 @@
     def __init__(self, listed: int = 0, down: int = BESIDE, owed: int = 0, full: bool = False) -> None:
         listed, owed = max(listed, down + 4), max(owed, 2 * down)
         settings = our.Settings(
-            types=(TYPE,), slots=64, max_held=owed + (1 if full else 1_000_000), max_transmissions=10 ** 6,
-            senders=stand.SENDERS, calls_per_connection=1, per_call=(1,), routes_apart=(False,),
-            rates_listed=False, list_on_request=False, retry_after_ms=3000.0, cold_share=0.3,
-            warm_up_ms=1000.0, key_rest_ms=0.0, notes=False)
+            types=(TYPE,),
+            slots=64,
+            max_held=owed + (1 if full else 1_000_000),
+            max_transmissions=10**6,
+            senders=stand.SENDERS,
+            calls_per_connection=1,
+            per_call=(1,),
+            routes_apart=(False,),
+            rates_listed=False,
+            list_on_request=False,
+            retry_after_ms=3000.0,
+            cold_share=0.3,
+            warm_up_ms=1000.0,
+            key_rest_ms=0.0,
+            notes=False,
+        )
         self.host, self.down, self.spare = Host(), down, listed
         self.sender = Sender(settings, 7, self.host)
         for name in ("_destinations", "_endpoints", "_held"):
@@ -96,7 +122,7 @@
             self.sender.document(self.host.now, f"o{at}", 1 + at % down, "sync", left, None)
         for ep in [self.sender._endpoints[f"s-{each}"] for each in range(1, down + 1)]:
             self.sender._falls_ill(0.0, ep.route.destination, ep.route, ep, our.ERROR)
-            ep.route.trial_at = 500.0 if ep.name == "s-1" else 60_000.0     # one is due at a time
+            ep.route.trial_at = 500.0 if ep.name == "s-1" else 60_000.0  # one is due at a time
         self.turn()
         self.answer()
         assert len(self.sender.avoided()) == down, "every one is known to be down"
@@ -114,8 +140,12 @@
         while self.host.calls:
             name, where = self.host.calls.pop(0)
             well = int(where[2:]) > self.down
-            self.sender.outcome(self.host.now, name, where, our.Outcome(
-                our.OK if well else our.ERROR, self.host.number[name], 10.0, well))
+            self.sender.outcome(
+                self.host.now,
+                name,
+                where,
+                our.Outcome(our.OK if well else our.ERROR, self.host.number[name], 10.0, well),
+            )
             self.turn()
 
     # What is measured; each leaves all as it was, but for the document that it is about
@@ -126,6 +156,7 @@
         def act() -> None:
             self.sender.document(self.host.now, name, self.spare, "sync", DAY_MS, None)
             self.turn()
+
         return act
 
     def outcome(self) -> Callable[[], None]:
@@ -135,6 +166,7 @@
         def act() -> None:
             self.sender.outcome(self.host.now, name, where, our.Outcome(our.OK, 0, 10.0, True))
             self.turn()
+
         return act
 
     def alarm(self) -> Callable[[], None]:
@@ -212,8 +244,15 @@
     def __init__(self, listed: int = 0, down: int = BESIDE, owed: int = 0) -> None:
         listed, owed = max(listed, down + 4), max(owed, 2 * down)
         self.loop = Loop()
-        raw = {"name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f",
-               "state": "/", "limits": {"disk_mb": 100_000}, "settings": stand.settings()}
+        raw = {
+            "name": "n1",
+            "listen": "127.0.0.1:1",
+            "discovery": "127.0.0.1:2",
+            "seed": "8c1f",
+            "state": "/",
+            "limits": {"disk_mb": 100_000},
+            "settings": stand.settings(),
+        }
         self.node = Node(decode(raw, {}), self.loop, InMemory())
         self.node._list.entries, self.node._ledger.owed = work.dictionary(), work.dictionary()
         self.node._list._destinations, self.node._answers = work.dictionary(), work.dictionary()
@@ -243,6 +282,7 @@
         def act() -> None:
             self.node._listed(our.CHANGES, [(endpoint(self.spare - 1, our.DRAINING), ("127.0.0.1", 3))])
             self.node._turn()
+
         return act
 
     def look(self) -> Callable[[], None]:
@@ -294,7 +334,8 @@
 
     def act() -> None:
         for at in range(0, len(told), block):
-            watch.received(memoryview(told)[at:at + block])
+            watch.received(memoryview(told)[at : at + block])
+
     return act
 
 
@@ -311,7 +352,8 @@
         "node: a list change": lambda x: Whole(listed=x).changed(),
         "node: a look for the overdue": lambda x: Whole(listed=x).look(),
         "node: an end untried": lambda x: Whole(listed=x).end(),
-        "node: its figures": lambda x: Whole(listed=x).figures()},
+        "node: its figures": lambda x: Whole(listed=x).figures(),
+    },
     "down": {
         "decisions: a document": lambda x, **also: Decisions(down=x, **also).taken(),
         "decisions: an outcome": lambda x, **also: Decisions(down=x, **also).outcome(),
@@ -319,10 +361,12 @@
         "decisions: a list change": lambda x, **also: Decisions(down=x, **also).changed(),
         "decisions: an expiry": lambda x, **also: Decisions(down=x, **also).expires(),
         "decisions: no room": lambda x, **also: Decisions(down=x, full=True, **also).taken(),
-        "node: a document": lambda x, **also: Whole(down=x, **also).taken()},
+        "node: a document": lambda x, **also: Whole(down=x, **also).taken(),
+    },
     "listed, 4.7% down": {
         "decisions: a document": lambda x: Decisions(listed=x, down=x * 47 // 1000).taken(),
-        "decisions: an alarm": lambda x: Decisions(listed=x, down=x * 47 // 1000).alarm()},
+        "decisions: an alarm": lambda x: Decisions(listed=x, down=x * 47 // 1000).alarm(),
+    },
     "owed": {
         "decisions: a document": lambda x: Decisions(owed=x).taken(),
         "decisions: an outcome": lambda x: Decisions(owed=x).outcome(),
@@ -334,16 +378,21 @@
         "node: a list change": lambda x: Whole(owed=x).changed(),
         "node: a look for the overdue": lambda x: Whole(owed=x).look(),
         "node: an end untried": lambda x: Whole(owed=x).end(),
-        "node: its figures": lambda x: Whole(owed=x).figures()},
+        "node: its figures": lambda x: Whole(owed=x).figures(),
+    },
     "handed together": {"node: documents": lambda x: Whole().taken(x)},
     "notices": {"node: notices answered": notices},
     "idle": {"node: a connection": connection},
     "list": {"node: a list read": read},
 }
-ALSO = {"down": {"listed": LISTED, "owed": 2 * DOWN}}       # what stays alike at full size,
-ALSO_SMALL = {"down": {"listed": 68, "owed": 128}}          # and where work is counted
-FIGURES = {f"{figure} of {action}, by {by}": unit for by, actions in ACTIONS.items() for action in actions
-           for figure, unit in (("work", "instructions"), ("CPU", "s"))}
+ALSO = {"down": {"listed": LISTED, "owed": 2 * DOWN}}  # what stays alike at full size,
+ALSO_SMALL = {"down": {"listed": 68, "owed": 128}}  # and where work is counted
+FIGURES = {
+    f"{figure} of {action}, by {by}": unit
+    for by, actions in ACTIONS.items()
+    for action in actions
+    for figure, unit in (("work", "instructions"), ("CPU", "s"))
+}
 logging.getLogger("birchstack").addHandler(logging.NullHandler())
 
 
@@ -360,15 +409,26 @@
 
 def found() -> dict[tuple[str, str], dict[tuple[str, str, int], float]]:
     """By what varies and action: the lines that walk, with their exponents."""
-    return {(by, action): work.walks([count(by, action, x) for x in SMALL[by]])
-            for by, actions in ACTIONS.items() for action in actions}
+    return {
+        (by, action): work.walks([count(by, action, x) for x in SMALL[by]])
+        for by, actions in ACTIONS.items()
+        for action in actions
+    }
 
 
 def notes(points: dict[str, tuple[int, ...]]) -> dict:
-    return {f"{action}, by {by}": [
-        {"at": f"birchstack/{file}:{line}", "in": name, "exponent": round(power, 2),
-         "line": work.source(file, line)} for (file, name, line), power in sorted(lines.items())]
-        for (by, action), lines in found().items()}
+    return {
+        f"{action}, by {by}": [
+            {
+                "at": f"birchstack/{file}:{line}",
+                "in": name,
+                "exponent": round(power, 2),
+                "line": work.source(file, line),
+            }
+            for (file, name, line), power in sorted(lines.items())
+        ]
+        for (by, action), lines in found().items()
+    }
 
 
 def _cpu_s(by: str, action: str, x: int) -> float:
@@ -385,9 +445,15 @@
 
 def measure(points: dict[str, tuple[int, ...]]) -> list[tuple[float, dict[str, float]]]:
     """Work is counted at the small points, where the lines are the same; CPU is taken at those asked."""
-    rows = [(x, {f"work of {action}, by {by}": count(by, action, x).total() for action in actions})
-            for by, actions in ACTIONS.items() for x in SMALL[by]]
+    rows = [
+        (x, {f"work of {action}, by {by}": count(by, action, x).total() for action in actions})
+        for by, actions in ACTIONS.items()
+        for x in SMALL[by]
+    ]
     if points == POINTS:
-        rows += [(x, {f"CPU of {action}, by {by}": _cpu_s(by, action, x) for action in actions})
-                 for by, actions in ACTIONS.items() for x in points[by]]
+        rows += [
+            (x, {f"CPU of {action}, by {by}": _cpu_s(by, action, x) for action in actions})
+            for by, actions in ACTIONS.items()
+            for x in points[by]
+        ]
     return rows
--- a/benchmarks/capacity/work.py
+++ b/benchmarks/capacity/work.py
@@ -20,8 +20,8 @@
 import birchstack
 
 ROOT = str(Path(birchstack.__file__).parent)
-LEAST, GROWS = 16, 0.4          # instructions more at the last doubling, and the exponent: a walk, no noise
-Place = tuple[CodeType, int]    # code, and the offset of an instruction
+LEAST, GROWS = 16, 0.4  # instructions more at the last doubling, and the exponent: a walk, no noise
+Place = tuple[CodeType, int]  # code, and the offset of an instruction
 
 
 class Work:
@@ -50,7 +50,7 @@
         if not frame.f_code.co_filename.startswith(ROOT):
             return None
         if "<locals>" not in frame.f_code.co_qualname:
-            self._calls[frame.f_code.co_filename[len(ROOT) + 1:], frame.f_code.co_qualname] += 1
+            self._calls[frame.f_code.co_filename[len(ROOT) + 1 :], frame.f_code.co_qualname] += 1
         frame.f_trace_opcodes, frame.f_trace_lines = True, False
         return self._step
 
@@ -83,7 +83,7 @@
                 lines[code] = [each for each in code.co_lines() if each[2] is not None]
             line = next((line for start, end, line in lines[code] if start <= at < end), code.co_firstlineno)
             name = code.co_qualname.partition(".<locals>")[0]
-            found[code.co_filename[len(ROOT) + 1:], name, line] += many
+            found[code.co_filename[len(ROOT) + 1 :], name, line] += many
         return dict(found)
 
 
--- a/benchmarks/cold_ramp.py
+++ b/benchmarks/cold_ramp.py
@@ -22,7 +22,7 @@
 from birchstack.emulator.scenario import Clients, Cold, Group, Scenario, SenderSide, Trouble
 from birchstack.emulator.virtual import VirtualDay
 
-SHAPES = {"alone": (1, 1, 1), "ten": (10, 2, 2), "wide": (1, 10, 1)}    # destinations, endpoints each, struck
+SHAPES = {"alone": (1, 1, 1), "ten": (10, 2, 2), "wide": (1, 10, 1)}  # destinations, endpoints each, struck
 KINDS = ("refusing", "silent", "shut_told")
 AT, AFTER, FOR_MS, MULTIPLE = 10.0, 10.0, 2000.0, 1.5
 
@@ -34,33 +34,45 @@
     kind: str
     uneven: float
     restarts: bool
-    windows: int            # of all destinations that came back
+    windows: int  # of all destinations that came back
     over: int
-    worst: float            # calls over the bound, the worst window
-    where: float            # milliseconds after the return
-    served: float           # value delivered over value asked for
-    drain_ms: list[float]   # of each document that waited at the return: until it was delivered
-    left: int               # of those, never delivered
+    worst: float  # calls over the bound, the worst window
+    where: float  # milliseconds after the return
+    served: float  # value delivered over value asked for
+    drain_ms: list[float]  # of each document that waited at the return: until it was delivered
+    left: int  # of those, never delivered
 
 
 def drawn(seed, senders, shape):
     """The day of a seed: the same trouble and rates for each size of the fleet."""
     draw = random.Random(f"cold ramp {seed}")
     many, endpoints, struck = SHAPES[shape]
-    each = 0.3 * 10.0 ** draw.uniform(0.0, 1.0)     # documents a second of one sender for one destination
+    each = 0.3 * 10.0 ** draw.uniform(0.0, 1.0)  # documents a second of one sender for one destination
     kind, uneven = KINDS[seed % len(KINDS)], (0.0, 1.0)[seed // len(KINDS) % 2]
     seconds, restarts = round(draw.uniform(4.0, 10.0), 1), draw.random() < 0.4
     troubles = [Trouble(kind=kind, at=AT, seconds=seconds, destinations=tuple(range(struck)))]
     if restarts:
         numbers = draw.sample(range(30), 30)
-        ends = [number for number in numbers if number < senders][:max(1, senders // 3)]
-        troubles += [Trouble(kind=draw.choice(("sigterm", "kill")), at=AT + seconds + draw.uniform(-1.0, 4.0),
-                             senders=(number,)) for number in ends]
+        ends = [number for number in numbers if number < senders][: max(1, senders // 3)]
+        troubles += [
+            Trouble(
+                kind=draw.choice(("sigterm", "kill")),
+                at=AT + seconds + draw.uniform(-1.0, 4.0),
+                senders=(number,),
+            )
+            for number in ends
+        ]
     return Scenario(
-        name=f"cold-ramp-{seed}", seconds=AT + seconds + AFTER, senders=senders, troubles=tuple(troubles),
-        types=Scenario().types[:3], cold=Cold(multiple=1e9), sender=SenderSide(disk_mb=64.0),
+        name=f"cold-ramp-{seed}",
+        seconds=AT + seconds + AFTER,
+        senders=senders,
+        troubles=tuple(troubles),
+        types=Scenario().types[:3],
+        cold=Cold(multiple=1e9),
+        sender=SenderSide(disk_mb=64.0),
         destinations=(Group(count=many, endpoints=endpoints, places=64, queue=256),),
-        clients=Clients(per_second=each * senders * many, uneven=uneven))
+        clients=Clients(per_second=each * senders * many, uneven=uneven),
+    )
 
 
 def play(words):
@@ -92,18 +104,32 @@
         at = {doc.logical: doc.delivered_at for doc in docs if doc.delivered_at is not None}
         drain += [at[each] - back for each in waited if each in at]
         left += sum(each not in at for each in waited)
-    return Day(seed, senders, trouble.kind, scenario.clients.uneven, len(scenario.troubles) > 1,
-               windows, over, worst, where, result.share, drain, left)
+    return Day(
+        seed,
+        senders,
+        trouble.kind,
+        scenario.clients.uneven,
+        len(scenario.troubles) > 1,
+        windows,
+        over,
+        worst,
+        where,
+        result.share,
+        drain,
+        left,
+    )
 
 
 def row(name, days):
     worst = max(days, key=lambda day: day.worst)
     waits = sorted(each for day in days for each in day.drain_ms) or [0.0]
-    return (f"| {name} | {len(days)} | {sum(day.worst > 1.0 for day in days)} | "
-            f"{sum(day.over for day in days)} of {sum(day.windows for day in days):,} | "
-            f"{worst.worst:.2f} (seed {worst.seed}, {worst.where / 1000.0:.1f} s) | "
-            f"{sum(day.served for day in days) / len(days):.4f} | {waits[len(waits) // 2] / 1000.0:.2f} s, "
-            f"{waits[len(waits) * 95 // 100] / 1000.0:.2f} s | {sum(day.left for day in days)} |")
+    return (
+        f"| {name} | {len(days)} | {sum(day.worst > 1.0 for day in days)} | "
+        f"{sum(day.over for day in days)} of {sum(day.windows for day in days):,} | "
+        f"{worst.worst:.2f} (seed {worst.seed}, {worst.where / 1000.0:.1f} s) | "
+        f"{sum(day.served for day in days) / len(days):.4f} | {waits[len(waits) // 2] / 1000.0:.2f} s, "
+        f"{waits[len(waits) * 95 // 100] / 1000.0:.2f} s | {sum(day.left for day in days)} |"
+    )
 
 
 def main():
@@ -117,25 +143,40 @@
     told = told.parse_args()
     began = time.monotonic()
     sizes = [int(each) for each in told.senders.split(",")]
-    print("| days | played | over the bound | windows over | worst window over the bound | value served | "
-          "documents that waited: median, 95th of 100 | of those not delivered |")
+    print(
+        "| days | played | over the bound | windows over | worst window over the bound | value served | "
+        "documents that waited: median, 95th of 100 | of those not delivered |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     with ProcessPoolExecutor(told.cores) as pool:
         for shape in told.shape.split(","):
             groups, days = defaultdict(list), []
-            for day in pool.map(play, [(seed, size, shape) for size in reversed(sizes)
-                                       for seed in range(told.first, told.first + told.seeds)]):
+            for day in pool.map(
+                play,
+                [
+                    (seed, size, shape)
+                    for size in reversed(sizes)
+                    for seed in range(told.first, told.first + told.seeds)
+                ],
+            ):
                 days.append(day)
             for day in sorted(days, key=lambda day: (day.senders, day.seed)):
-                for name in (f"{day.senders} senders", day.kind, "uneven" if day.uneven else "even",
-                             "restarts" if day.restarts else "no restart", "all"):
+                for name in (
+                    f"{day.senders} senders",
+                    day.kind,
+                    "uneven" if day.uneven else "even",
+                    "restarts" if day.restarts else "no restart",
+                    "all",
+                ):
                     groups[name].append(day)
             for name, each in groups.items():
                 print(row(f"{shape}: {name}", each), flush=True)
             for day in days if told.days else ():
                 if day.worst > 1.0:
-                    print(f"seed {day.seed}: {day.senders} senders, {day.kind}, uneven {day.uneven}, "
-                          f"restarts {day.restarts}: {day.worst:.2f} at {day.where:.0f} ms, {day.over} over")
+                    print(
+                        f"seed {day.seed}: {day.senders} senders, {day.kind}, uneven {day.uneven}, "
+                        f"restarts {day.restarts}: {day.worst:.2f} at {day.where:.0f} ms, {day.over} over"
+                    )
     print(f"\n{time.monotonic() - began:.0f} s")
 
 
--- a/benchmarks/fleet_audit.py
+++ b/benchmarks/fleet_audit.py
@@ -20,7 +20,7 @@
     logging.disable(logging.CRITICAL)
     try:
         return play(seed, most)
-    except Exception as problem:        # a day that cannot be played is a breach too
+    except Exception as problem:  # a day that cannot be played is a breach too
         problem.add_note(f"seed {seed}")
         raise
 
@@ -41,8 +41,10 @@
             if each.breaches:
                 bad += 1
                 print(f"seed {each.seed}: {each.senders} senders, {each.kinds}: {each.breaches[0]}")
-    print(f"{told.seeds} days, {min(senders)} to {max(senders)} senders, {bad} with a breach, "
-          f"{time.monotonic() - began:.0f} s")
+    print(
+        f"{told.seeds} days, {min(senders)} to {max(senders)} senders, {bad} with a breach, "
+        f"{time.monotonic() - began:.0f} s"
+    )
     print(", ".join(f"{what}: {many:,}" for what, many in sorted(figures.items())))
     print("troubles: " + ", ".join(f"{what} {many}" for what, many in kinds.most_common()))
     return 1 if bad else 0
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -43,13 +43,19 @@
         reader, writer = await asyncio.open_connection(rig.place(name), CLIENT_PORT)
         for number in numbers:
             began = time.perf_counter()
-            writer.write((f"POST /sync HTTP/1.1\r\nHost: api\r\nRequest-Id: {name}x{number}\r\n"
-                          f"Request-Timeout-Ms: 8000\r\nX-Consignee: dest={1 + number % 2}\r\n"
-                          "Content-Length: 200\r\n\r\n").encode() + bytes(200))
+            writer.write(
+                (
+                    f"POST /sync HTTP/1.1\r\nHost: api\r\nRequest-Id: {name}x{number}\r\n"
+                    f"Request-Timeout-Ms: 8000\r\nX-Consignee: dest={1 + number % 2}\r\n"
+                    "Content-Length: 200\r\n\r\n"
+                ).encode()
+                + bytes(200)
+            )
             head = await reader.readuntil(b"\r\n\r\n")
             assert head.startswith(b"HTTP/1.1 202"), head
             times.append((time.perf_counter() - began) * 1000.0)
         writer.close()
+
     await asyncio.gather(*(client(range(first + at, first + many, 8)) for at in range(8)))
     return times
 
@@ -69,11 +75,13 @@
                 await rig[on].start()
                 await asyncio.gather(*(documents(rig, name, 500, 0) for name in (on, off)))
                 before = {name: cpu_s(rig[name].process.pid) for name in (on, off)}
-                times = await asyncio.gather(*(documents(rig, name, told.documents, 1000)
-                                               for name in (on, off)))
+                times = await asyncio.gather(
+                    *(documents(rig, name, told.documents, 1000) for name in (on, off))
+                )
                 await asyncio.sleep(0.3)
-                spent = [(cpu_s(rig[name].process.pid) - before[name]) / told.documents * 1e6
-                         for name in (on, off)]
+                spent = [
+                    (cpu_s(rig[name].process.pid) - before[name]) / told.documents * 1e6 for name in (on, off)
+                ]
                 assert any(name.startswith("trail-") for name in os.listdir(rig.state(on)))
                 assert not any(name.startswith("trail-") for name in os.listdir(rig.state(off)))
         yield *spent, *(statistics.mean(each) for each in times)
@@ -83,16 +91,22 @@
     got = []
     async for on, off, on_ms, off_ms in pairs(told):
         got.append((on, off, on_ms, off_ms))
-        print(f"on {on:.1f}, off {off:.1f} us a document: {100.0 * (on / off - 1.0):+.1f} in 100; "
-              f"taken on in {on_ms:.2f} and {off_ms:.2f} ms", flush=True)
+        print(
+            f"on {on:.1f}, off {off:.1f} us a document: {100.0 * (on / off - 1.0):+.1f} in 100; "
+            f"taken on in {on_ms:.2f} and {off_ms:.2f} ms",
+            flush=True,
+        )
     shares = [100.0 * (on / off - 1.0) for on, off, *_ in got]
     slower = [100.0 * (on / off - 1.0) for *_, on, off in got]
     error = statistics.stdev(shares) / len(shares) ** 0.5 if len(shares) > 1 else 0.0
-    print(f"time until taken on: {statistics.mean(slower):+.2f} in 100, median "
-          f"{statistics.median(slower):+.2f}")
-    print(f"off {statistics.mean(off for _, off, *_ in got):.0f} us a document; the trail costs "
-          f"{statistics.mean(shares):+.2f} in 100 (standard error {error:.2f}, median "
-          f"{statistics.median(shares):+.2f}, {len(shares)} pairs of {told.documents} documents)")
+    print(
+        f"time until taken on: {statistics.mean(slower):+.2f} in 100, median {statistics.median(slower):+.2f}"
+    )
+    print(
+        f"off {statistics.mean(off for _, off, *_ in got):.0f} us a document; the trail costs "
+        f"{statistics.mean(shares):+.2f} in 100 (standard error {error:.2f}, median "
+        f"{statistics.median(shares):+.2f}, {len(shares)} pairs of {told.documents} documents)"
+    )
 
 
 def keeper(told):
@@ -103,16 +117,18 @@
                 began = time.monotonic()
                 rig.senders = [f"n{at + 1}" for at in range(told.senders)]
                 for at in range(0, told.senders, 16):
-                    some = rig.senders[at:at + 16]
+                    some = rig.senders[at : at + 16]
                     for name in some:
                         rig.add_sender(name)
                     await asyncio.gather(*(rig[name].start(within_s=60.0) for name in some))
-                print(f"{told.senders} senders ready after {time.monotonic() - began:.0f} s, together "
-                      f"{sum(memory_mb(rig[name].process.pid) for name in rig.senders) / 1000.0:.1f} GB",
-                      flush=True)
+                print(
+                    f"{told.senders} senders ready after {time.monotonic() - began:.0f} s, together "
+                    f"{sum(memory_mb(rig[name].process.pid) for name in rig.senders) / 1000.0:.1f} GB",
+                    flush=True,
+                )
                 rig.load(told.per_second)
                 rig.keepers = ["k1"]
-                doors = {name: [f"{rig.place(name)}:7401"] for name in rig.senders}     # no link between
+                doors = {name: [f"{rig.place(name)}:7401"] for name in rig.senders}  # no link between
                 rig.add_keeper("k1", doors)
                 await rig["k1"].start("event=keeping")
                 await asyncio.sleep(5.0)
@@ -125,17 +141,22 @@
                     asked.append(sum(each.answered_ms < 1100.0 for each in rows))
                 spent = (cpu_s(pid) - before) / (time.monotonic() - since)
                 ages.sort()
-                print(f"doors answered within the last 1.1 s: least {min(asked)} of {told.senders}; keeper "
-                      f"{spent * 100.0:.0f} in 100 of a core, {memory_mb(pid):.0f} MB; age of a sender's "
-                      f"picture p50 {ages[len(ages) // 2]:.0f} ms, p99 {ages[len(ages) * 99 // 100]:.0f} ms, "
-                      f"most {ages[-1]:.0f} ms")
+                print(
+                    f"doors answered within the last 1.1 s: least {min(asked)} of {told.senders}; keeper "
+                    f"{spent * 100.0:.0f} in 100 of a core, {memory_mb(pid):.0f} MB; age of a sender's "
+                    f"picture p50 {ages[len(ages) // 2]:.0f} ms, p99 {ages[len(ages) * 99 // 100]:.0f} ms, "
+                    f"most {ages[-1]:.0f} ms"
+                )
                 calls = len(rig.endpoints.calls)
                 await rig.quiet()
                 await asyncio.sleep(2.5)
                 stores = Stores([rig.store("k1")], rig.now_ms())
                 known = sum(each.calls for each in stores.acted(1).stretches)
-                print(f"calls: {len(rig.endpoints.calls)} seen by endpoints ({calls} before the end), "
-                      f"{known} in the store; store {os.path.getsize(rig.store('k1')) / 1e6:.1f} MB")
+                print(
+                    f"calls: {len(rig.endpoints.calls)} seen by endpoints ({calls} before the end), "
+                    f"{known} in the store; store {os.path.getsize(rig.store('k1')) / 1e6:.1f} MB"
+                )
+
     asyncio.run(whole())
 
 
@@ -165,32 +186,49 @@
                 size += len(data)
             for start in range(0, number, 1000):
                 piece = wire.Piece(
-                    name=f"n{sender}", process="p", boot="b", trail=f"t{sender}", life="l", wall_ms=at,
-                    steady_ms=at, last=number, chain=chain, frames=b"".join(frames[start:start + 1000]))
+                    name=f"n{sender}",
+                    process="p",
+                    boot="b",
+                    trail=f"t{sender}",
+                    life="l",
+                    wall_ms=at,
+                    steady_ms=at,
+                    last=number,
+                    chain=chain,
+                    frames=b"".join(frames[start : start + 1000]),
+                )
                 store.take(f"d{sender}", piece, at, 1.0)
                 store.commit()
         spent = time.monotonic() - began
         store.close()
-        print(f"{told.records:,} records of {senders} senders taken in {spent:.0f} s "
-              f"({told.records / spent:,.0f} a second, with building them), {size / told.records:.0f} bytes "
-              f"a record on the senders, store {os.path.getsize(path) / 1e6:.0f} MB")
+        print(
+            f"{told.records:,} records of {senders} senders taken in {spent:.0f} s "
+            f"({told.records / spent:,.0f} a second, with building them), {size / told.records:.0f} bytes "
+            f"a record on the senders, store {os.path.getsize(path) / 1e6:.0f} MB"
+        )
         stores = Stores([path], 5e5)
-        for name, ask in (("acted --list 25", lambda: len(stores.acted(25).stretches)),
-                          ("acted --list 25 --late", lambda: len(stores.late(25).calls)),
-                          ("document", lambda: len(stores.document("doc-50-77").calls)),
-                          ("after --endpoint e1 --out-at 40", lambda: len(stores.after("e1", 40).calls)),
-                          ("status", lambda: len(stores.status())),
-                          ("findings", lambda: len(stores.findings()))):
+        for name, ask in (
+            ("acted --list 25", lambda: len(stores.acted(25).stretches)),
+            ("acted --list 25 --late", lambda: len(stores.late(25).calls)),
+            ("document", lambda: len(stores.document("doc-50-77").calls)),
+            ("after --endpoint e1 --out-at 40", lambda: len(stores.after("e1", 40).calls)),
+            ("status", lambda: len(stores.status())),
+            ("findings", lambda: len(stores.findings())),
+        ):
             times = []
             for _ in range(5):
                 began = time.perf_counter()
                 many = ask()
                 times.append(time.perf_counter() - began)
-            print(f"{name}: {many} rows, {statistics.median(times) * 1000.0:.1f} ms (first "
-                  f"{times[0] * 1000.0:.1f} ms)")
+            print(
+                f"{name}: {many} rows, {statistics.median(times) * 1000.0:.1f} ms (first "
+                f"{times[0] * 1000.0:.1f} ms)"
+            )
     head = Adopted(Version(LIST, "127.0.0.1:8500", "", 41, "0" * 32), "newer", "127.0.0.1:8500", 1e12, 1e6)
-    print(f"an adoption: {len(frame(1, START, head)[0])} bytes; a turn with one call: "
-          f"{len(frame(1, START, Acted(1e6, ('9b1f03aa5c7e2d41', 's-5be2a07c')))[0])} bytes")
+    print(
+        f"an adoption: {len(frame(1, START, head)[0])} bytes; a turn with one call: "
+        f"{len(frame(1, START, Acted(1e6, ('9b1f03aa5c7e2d41', 's-5be2a07c')))[0])} bytes"
+    )
 
 
 def main():
--- a/benchmarks/ledger_options.py
+++ b/benchmarks/ledger_options.py
@@ -85,9 +85,12 @@
 
     def __init__(self, folder):
         self._db = sqlite3.connect(os.path.join(folder, "ledger.db"), isolation_level=None)
-        for line in ("PRAGMA journal_mode=WAL", "PRAGMA synchronous=OFF",
-                     "CREATE TABLE IF NOT EXISTS owed (id TEXT PRIMARY KEY, type TEXT, destination INT,"
-                     " key TEXT, expiry REAL, sent INT, zone TEXT, at REAL, body BLOB) WITHOUT ROWID"):
+        for line in (
+            "PRAGMA journal_mode=WAL",
+            "PRAGMA synchronous=OFF",
+            "CREATE TABLE IF NOT EXISTS owed (id TEXT PRIMARY KEY, type TEXT, destination INT,"
+            " key TEXT, expiry REAL, sent INT, zone TEXT, at REAL, body BLOB) WITHOUT ROWID",
+        ):
             self._db.execute(line)
         self._changes = 0
         self._owed = {row[0]: None for row in self._db.execute("SELECT id, body FROM owed")}
@@ -119,8 +122,12 @@
     each = 16
 
 
-OPTIONS = {"today's file": Today, "segmented log": Segmented, "SQLite, each change": Sqlite,
-           "SQLite, sixteen a commit": SqliteTurns}
+OPTIONS = {
+    "today's file": Today,
+    "segmented log": Segmented,
+    "SQLite, each change": Sqlite,
+    "SQLite, sixteen a commit": SqliteTurns,
+}
 
 
 def resident():
@@ -151,9 +158,14 @@
         if isinstance(ledger, Sqlite) and ledger.each > 1:
             ledger._db.execute("COMMIT")
         del ledger
-        told = subprocess.run([sys.executable, "-O", __file__, "--open", name, folder], capture_output=True,
-                              text=True, check=True, timeout=120,
-                              env={**os.environ, "PYTHONPATH": os.getcwd()})
+        told = subprocess.run(
+            [sys.executable, "-O", __file__, "--open", name, folder],
+            capture_output=True,
+            text=True,
+            check=True,
+            timeout=120,
+            env={**os.environ, "PYTHONPATH": os.getcwd()},
+        )
         seconds, megabytes, found = told.stdout.split()
         assert int(found) == owed, (name, found)
         return float(seconds), float(megabytes)
--- a/benchmarks/restart_ready.py
+++ b/benchmarks/restart_ready.py
@@ -26,10 +26,10 @@
 from birchstack.net.ledger import Ledger
 from birchstack.net.machine import Folder, LastingClock, Machine
 
-WITHIN_S, MOST_IN_TEN_S = 30.0, 10.0        # all, and nine in ten
+WITHIN_S, MOST_IN_TEN_S = 30.0, 10.0  # all, and nine in ten
 SMALL, LARGE, LEFT_MS = 300, 60_000, 120_000.0
 PORT, DESTINATIONS, ENDPOINTS = 23000, 10, 20
-LEFT = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)     # how a connection here ends
+LEFT = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)  # how a connection here ends
 PLAIN = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 TYPES = [("copy", "safe"), ("order", "keyed"), ("charge", "unsafe")]
 
@@ -59,21 +59,43 @@
 
 
 def settings():
-    return {"domain": {"callsOut": 40}, "nInstances": 30, "registryMode": "pushed", "hostTypes": ["shop"],
-            "limits": {"connIdleMs": 10000.0, "dialTimeoutMs": 1000.0, "maxOpen": 20000,
-                       "maxRetryAfterMs": 3000.0, "retryAfter": True, "sendCap": 6, "streamsPerConn": 1},
-            "rules": {"answerSlackMs": 20.0, "coldFrom": 0.3, "warmUpMs": 10000.0},
-            "services": [{"name": name, "effect": effect, "objectiveMs": 2500.0, "deadlineMs": LEFT_MS,
-                          "importance": 1.0, "lateShare": 0.4, "windowMs": LEFT_MS}
-                         for name, effect in TYPES]}
+    return {
+        "domain": {"callsOut": 40},
+        "nInstances": 30,
+        "registryMode": "pushed",
+        "hostTypes": ["shop"],
+        "limits": {
+            "connIdleMs": 10000.0,
+            "dialTimeoutMs": 1000.0,
+            "maxOpen": 20000,
+            "maxRetryAfterMs": 3000.0,
+            "retryAfter": True,
+            "sendCap": 6,
+            "streamsPerConn": 1,
+        },
+        "rules": {"answerSlackMs": 20.0, "coldFrom": 0.3, "warmUpMs": 10000.0},
+        "services": [
+            {
+                "name": name,
+                "effect": effect,
+                "objectiveMs": 2500.0,
+                "deadlineMs": LEFT_MS,
+                "importance": 1.0,
+                "lateShare": 0.4,
+                "windowMs": LEFT_MS,
+            }
+            for name, effect in TYPES
+        ],
+    }
 
 
 class Surroundings:
     """Discovery's agent and the endpoints, all in this process."""
 
     async def __aenter__(self):
-        self._servers = [await asyncio.start_server(each, "127.0.0.1", 0)
-                         for each in (self._agent, self._endpoint)]
+        self._servers = [
+            await asyncio.start_server(each, "127.0.0.1", 0) for each in (self._agent, self._endpoint)
+        ]
         self.agent, self._place = (f"127.0.0.1:{each.sockets[0].getsockname()[1]}" for each in self._servers)
         return self
 
@@ -85,7 +107,7 @@
         head = (await reader.readuntil(b"\r\n\r\n")).lower()
         at = head.find(b"content-length:")
         if at >= 0:
-            await reader.readexactly(int(head[at + 15:].split(b"\r\n")[0]))
+            await reader.readexactly(int(head[at + 15 :].split(b"\r\n")[0]))
         return head
 
     async def _agent(self, reader, writer):
@@ -104,9 +126,19 @@
         writer.close()
 
     def entries(self):
-        return [{"uid": f"s-{number}", "endpoint": self._place, "az": "a", "model": "shop",
-                 "pod_group": number % DESTINATIONS, "state": "active", "capacity_hint": 1.0, "boot_ms": 0}
-                for number in range(ENDPOINTS)]
+        return [
+            {
+                "uid": f"s-{number}",
+                "endpoint": self._place,
+                "az": "a",
+                "model": "shop",
+                "pod_group": number % DESTINATIONS,
+                "state": "active",
+                "capacity_hint": 1.0,
+                "boot_ms": 0,
+            }
+            for number in range(ENDPOINTS)
+        ]
 
     async def _endpoint(self, reader, writer):
         with contextlib.suppress(*LEFT):
@@ -118,9 +150,19 @@
 def told(folder, state, agent, port, disk_mb):
     """Writes a sender's configuration file. Returns what its environment says."""
     path = Path(folder) / f"{state.name}.json"
-    path.write_text(json.dumps({
-        "name": state.name, "listen": f"127.0.0.1:{port}", "discovery": agent, "seed": f"{port:x}",
-        "state": str(state), "limits": {"disk_mb": disk_mb}, "settings": settings()}))
+    path.write_text(
+        json.dumps(
+            {
+                "name": state.name,
+                "listen": f"127.0.0.1:{port}",
+                "discovery": agent,
+                "seed": f"{port:x}",
+                "state": str(state),
+                "limits": {"disk_mb": disk_mb},
+                "settings": settings(),
+            }
+        )
+    )
     return {**os.environ, "BALANCER_CONFIG": str(path)}
 
 
@@ -156,10 +198,15 @@
             async def one(number):
                 port, began = PORT + os.getpid() % 500 * 8 + number, time.monotonic()
                 process = await asyncio.create_subprocess_exec(
-                    sys.executable, "-m", "birchstack", stderr=subprocess.DEVNULL,
-                    env=told(folder, states[number], around.agent, port, disk_mb))
+                    sys.executable,
+                    "-m",
+                    "birchstack",
+                    stderr=subprocess.DEVNULL,
+                    env=told(folder, states[number], around.agent, port, disk_mb),
+                )
                 processes.append(process)
                 return await ready(process, port, began)
+
             try:
                 return owed, await asyncio.gather(*map(one, range(senders)))
             finally:
@@ -175,14 +222,17 @@
 
 
 def together(words):
-    owed, measured = asyncio.run(restart(words.senders, words.documents[0], words.large, words.disk_mb,
-                                         words.sent))
+    owed, measured = asyncio.run(
+        restart(words.senders, words.documents[0], words.large, words.disk_mb, words.sent)
+    )
     times, cpus = sorted(each for each, _ in measured), [each for _, each in measured]
-    print(f"{words.senders} senders, {min(owed)} to {max(owed)} documents owed each ({words.large} of "
-          f"{LARGE} bytes): ready after {times[0]:.2f} s at best, {statistics.median(times):.2f} s median, "
-          f"{times[-(-len(times) * 9 // 10) - 1]:.2f} s nine in ten, {times[-1]:.2f} s the last; CPU "
-          f"{statistics.median(cpus):.2f} s median, {max(cpus):.2f} s most; "
-          f"{'holds' if verdict(times) else 'does not hold'}")
+    print(
+        f"{words.senders} senders, {min(owed)} to {max(owed)} documents owed each ({words.large} of "
+        f"{LARGE} bytes): ready after {times[0]:.2f} s at best, {statistics.median(times):.2f} s median, "
+        f"{times[-(-len(times) * 9 // 10) - 1]:.2f} s nine in ten, {times[-1]:.2f} s the last; CPU "
+        f"{statistics.median(cpus):.2f} s median, {max(cpus):.2f} s most; "
+        f"{'holds' if verdict(times) else 'does not hold'}"
+    )
 
 
 def slope(words):
@@ -190,8 +240,10 @@
         runs = [asyncio.run(restart(1, documents, 0, words.disk_mb, words.sent)) for _ in range(5)]
         times, cpus = zip(*(measured[0] for _, measured in runs), strict=True)
         cpu = statistics.median(cpus)
-        print(f"{runs[0][0][0]} owed: CPU {cpu:.3f} s ({min(cpus):.3f} to {max(cpus):.3f}), ready after "
-              f"{statistics.median(times):.2f} s; on a tenth of a core {cpu * 10:.1f} s of CPU alone")
+        print(
+            f"{runs[0][0][0]} owed: CPU {cpu:.3f} s ({min(cpus):.3f} to {max(cpus):.3f}), ready after "
+            f"{statistics.median(times):.2f} s; on a tenth of a core {cpu * 10:.1f} s of CPU alone"
+        )
 
 
 def phases(words):
@@ -204,10 +256,15 @@
             async with Surroundings() as around:
                 env = told(folder, state, around.agent, PORT + os.getpid() % 500 * 8, words.disk_mb)
                 process = await asyncio.create_subprocess_exec(
-                    sys.executable, __file__, "inside", env={**env, "PYTHONPATH": os.getcwd()},
-                    stderr=subprocess.DEVNULL)
+                    sys.executable,
+                    __file__,
+                    "inside",
+                    env={**env, "PYTHONPATH": os.getcwd()},
+                    stderr=subprocess.DEVNULL,
+                )
                 if await asyncio.wait_for(process.wait(), WITHIN_S):
                     raise SystemExit("the start failed")
+
         print(f"{owed} owed")
         asyncio.run(play())
 
@@ -228,6 +285,7 @@
                 return call(*given, **named)
             finally:
                 note(name, time.process_time() - cpu, time.monotonic() - began)
+
         return later if waits else now
 
     def note(name, cpu, wall):
@@ -237,6 +295,7 @@
             order.append(name)
 
     from birchstack.net import config, discovery, front, ledger, machine, sender
+
     imported = time.process_time()
     ledger.Ledger._load = clock("bodies read", ledger.Ledger._load)
     ledger.Ledger._clear = clock("other files looked for", ledger.Ledger._clear)
@@ -250,12 +309,15 @@
     async def start():
         node = sender.Node(config.load(), asyncio.get_running_loop(), machine.Machine())
         await node.start()
-        print(f"CPU until ready {time.process_time():.3f} s: interpreter and imports (this file's too) "
-              f"{imported:.3f}")
+        print(
+            f"CPU until ready {time.process_time():.3f} s: interpreter and imports (this file's too) "
+            f"{imported:.3f}"
+        )
         for name in order:
             print(f"  {name}: CPU {spent[name][0]:.3f} s, took {spent[name][1]:.3f} s")
         sys.stdout.flush()
         os._exit(0)
+
     asyncio.run(start())
 
 
--- a/birchstack/__main__.py
+++ b/birchstack/__main__.py
@@ -50,12 +50,12 @@
     node = Node(config, asyncio.get_running_loop(), witness=witness, store=store)
     await node.start()
     gc.collect()
-    gc.freeze()                 # what a start leaves behind is never garbage
+    gc.freeze()  # what a start leaves behind is never garbage
     await node.ended
 
 
 def main() -> int:
-    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])   # until it has its handler
+    signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])  # until it has its handler
     log.start()
     try:
         config, witness = _witness(load())
--- a/birchstack/adapter/wire.py
+++ b/birchstack/adapter/wire.py
@@ -10,9 +10,16 @@
 from birchstack.decide import Sender
 from birchstack.settings import decode
 
-OUTCOMES = {"delivered": our.OK, "app_error": our.ERROR, "shed": our.FULL, "expired": our.TIMEOUT,
-            "dial_failed": our.CONNECT_FAILED, "dropped": our.RESET, "revoked": our.CANCELLED,
-            "unused": our.UNSENT}
+OUTCOMES = {
+    "delivered": our.OK,
+    "app_error": our.ERROR,
+    "shed": our.FULL,
+    "expired": our.TIMEOUT,
+    "dial_failed": our.CONNECT_FAILED,
+    "dropped": our.RESET,
+    "revoked": our.CANCELLED,
+    "unused": our.UNSENT,
+}
 STATES = {0: our.GONE, 1: our.READY, 2: our.DRAINING}
 MODES = {0: our.CHANGES, 1: our.WHOLE, 2: our.WHOLE, 3: our.FAILED}
 IGNORED = {"boot", "wake", "streaming", "probed"}
@@ -76,9 +83,17 @@
 
     def entries(self, records: list[dict]) -> list[our.Endpoint]:
         """Reads the entries of one list."""
-        return [our.Endpoint(line["endpoint"], line["destination"], line.get("hall") or "",
-                             self.kinds.index(line["model"]) if line.get("model") in self.kinds else 0,
-                             STATES[line["lifecycle"]], line.get("share") or 0.0) for line in records]
+        return [
+            our.Endpoint(
+                line["endpoint"],
+                line["destination"],
+                line.get("hall") or "",
+                self.kinds.index(line["model"]) if line.get("model") in self.kinds else 0,
+                STATES[line["lifecycle"]],
+                line.get("share") or 0.0,
+            )
+            for line in records
+        ]
 
 
 class Desk:
@@ -125,9 +140,17 @@
         """The sender's method for one event, with its words; None where the event asks for none."""
         sender = instance.sender
         if event == "inbound":
-            return (sender.document, now, fields["txn"], fields["boundFor"], fields["service"],
-                    fields["timeBudgetMs"], fields.get("subject") or None, our.NO_PAST,
-                    fields.get("userGroup") or None)
+            return (
+                sender.document,
+                now,
+                fields["txn"],
+                fields["boundFor"],
+                fields["service"],
+                fields["timeBudgetMs"],
+                fields.get("subject") or None,
+                our.NO_PAST,
+                fields.get("userGroup") or None,
+            )
         if event == "settled":
             if fields["how"] not in OUTCOMES:
                 raise WireError(f"unknown outcome {fields['how']!r}")
@@ -152,7 +175,7 @@
         if not line.strip():
             continue
         try:
-            (name, fields), = json.loads(line).items()
+            ((name, fields),) = json.loads(line).items()
             if name == "mark":
                 now = fields["timeMs"]
             elif name == "eofBatch":
--- a/birchstack/backlog/__init__.py
+++ b/birchstack/backlog/__init__.py
@@ -10,4 +10,4 @@
 def left(names: Iterable[str]) -> bool:
     """Whether these names of a folder show documents of a backlog: segments are named
     backlog-<destination>-<number>; indexes and the manifest hold none."""
-    return any(name.startswith(PREFIX) and name[len(PREFIX):].replace("-", "").isdecimal() for name in names)
+    return any(name.startswith(PREFIX) and name[len(PREFIX) :].replace("-", "").isdecimal() for name in names)
--- a/birchstack/backlog/index.py
+++ b/birchstack/backlog/index.py
@@ -30,8 +30,8 @@
     __slots__ = ("ids", "times", "_all")
 
     def __init__(self) -> None:
-        self.ids: dict[bytes, list[bytes]] = {}     # entries by hash
-        self.times: list[bytes] = []                # a heap
+        self.ids: dict[bytes, list[bytes]] = {}  # entries by hash
+        self.times: list[bytes] = []  # a heap
         self._all: list[bytes] = []
 
     def __len__(self) -> int:
@@ -49,21 +49,27 @@
         return sorted(entry for entries in self.ids.values() for entry in entries)
 
 
-Record = Callable[[list[Run], list[Run]], None]     # runs added and removed are recorded, or OSError
+Record = Callable[[list[Run], list[Run]], None]  # runs added and removed are recorded, or OSError
 
 
 class Index:
-    def __init__(self, folder: Folder, number: Callable[[], int], counts: dict[str, Callable[[bytes], bool]],
-                 rotten: Callable[[Rot], None], sizes: Sizes) -> None:
+    def __init__(
+        self,
+        folder: Folder,
+        number: Callable[[], int],
+        counts: dict[str, Callable[[bytes], bool]],
+        rotten: Callable[[Rot], None],
+        sizes: Sizes,
+    ) -> None:
         """number: a new file's; counts: by kind, whether an entry still does."""
         self._folder, self._number, self._counts, self._rotten = folder, number, counts, rotten
         self._sizes = sizes
         self.tail, self.frozen = Tail(), None
         self.runs: dict[int, Run] = {}
         self._filters: dict[int, Bloom] = {}
-        self._cursors: list[Cursor] = []            # a heap
-        self._full: set[int] = set()                # see plan.merged
-        self.making: dict[str, list[str]] = {}      # by job, files that are of no use if it does not end
+        self._cursors: list[Cursor] = []  # a heap
+        self._full: set[int] = set()  # see plan.merged
+        self.making: dict[str, list[str]] = {}  # by job, files that are of no use if it does not end
 
     # At the start
 
@@ -135,8 +141,9 @@
         self.frozen = None
         del self.making["flush"]
 
-    def _write(self, job: str, kind: str, expected: int,
-               entries: Iterable[bytes | None]) -> Generator[None, None, tuple[Run, Bloom | None]]:
+    def _write(
+        self, job: str, kind: str, expected: int, entries: Iterable[bytes | None]
+    ) -> Generator[None, None, tuple[Run, Bloom | None]]:
         number = self._number()
         self.making[job].append(Run(kind, number, 0, 0, 0).name)
         return write(self._folder, kind, number, expected, entries)
@@ -150,8 +157,9 @@
                 return runs
         return []
 
-    def merge(self, old: list[Run], mark: Callable[[], bytes],
-              record: Record) -> Generator[None, None, list[Run]]:
+    def merge(
+        self, old: list[Run], mark: Callable[[], bytes], record: Record
+    ) -> Generator[None, None, list[Run]]:
         """These runs become one, of the entries that still count; returns those whose files may go. Raises
         Rot, and then all stays as it is."""
         kind = old[0].kind
@@ -171,8 +179,9 @@
         """These runs are needed no more."""
         self._install([], old, bytes, lambda *_: record())
 
-    def _install(self, new: list[tuple[Run, Bloom | None]], old: list[Run], mark: Callable[[], bytes],
-                 record: Record) -> None:
+    def _install(
+        self, new: list[tuple[Run, Bloom | None]], old: list[Run], mark: Callable[[], bytes], record: Record
+    ) -> None:
         record([run for run, _ in new], old)
         gone = {run.number for run in old}
         for number in gone:
--- a/birchstack/backlog/maker.py
+++ b/birchstack/backlog/maker.py
@@ -11,10 +11,11 @@
 from birchstack.net.machine import Folder
 from birchstack.net.overflow import Made, Make
 
-DESCRIPTORS = HANDLES + 8       # segments, the manifest and a new one, runs that are written and read
+DESCRIPTORS = HANDLES + 8  # segments, the manifest and a new one, runs that are written and read
 
 
 def maker(told: Settings) -> Make:
     def make(folder: Folder, now: float) -> Made:
         return Made(Backlog(folder, told, now), told.window, Kept)
+
     return make
--- a/birchstack/backlog/manifest.py
+++ b/birchstack/backlog/manifest.py
@@ -17,7 +17,7 @@
 from birchstack.net.machine import Folder
 
 READ = 65536
-KEPT = 1 << 17                          # the ballast
+KEPT = 1 << 17  # the ballast
 log = logging.getLogger(__name__)
 
 
@@ -26,9 +26,9 @@
         """number: a new file's; logged: see plan.Sizes."""
         self._folder, self._number, self._logged = folder, number, logged
         self._file, self.name, self.torn = -1, "", False
-        self._snapshot = self._log = 0          # bytes of each
-        self._late: list[bytes] = []            # recorded as soon as it can be
-        self.late = 0                           # bytes of them
+        self._snapshot = self._log = 0  # bytes of each
+        self._late: list[bytes] = []  # recorded as soon as it can be
+        self.late = 0  # bytes of them
         self._ballast = False
 
     @property
@@ -54,11 +54,17 @@
         if best is None:
             return []
         self.name, self._log, found, scanner = best
-        self.torn = bool(scanner.damages)       # a snapshot soon, so that nothing follows a torn record
+        self.torn = bool(scanner.damages)  # a snapshot soon, so that nothing follows a torn record
         for damage in scanner.damages:
             if damage.rot:
-                say(log, "rot in the manifest", logging.ERROR, file=self.name, start=damage.start,
-                    end=damage.end)
+                say(
+                    log,
+                    "rot in the manifest",
+                    logging.ERROR,
+                    file=self.name,
+                    start=damage.start,
+                    end=damage.end,
+                )
         if not any(isinstance(each, Whole) for each in found):
             say(log, "no snapshot is whole", logging.ERROR, file=self.name)
         with contextlib.suppress(OSError):
@@ -136,7 +142,7 @@
             try:
                 self._folder.write(BALLAST, bytes(KEPT))
                 self._ballast = True
-            except OSError:                     # half of one would only take the room that others need
+            except OSError:  # half of one would only take the room that others need
                 with contextlib.suppress(OSError):
                     self._folder.unlink(BALLAST)
         return self._ballast
--- a/birchstack/backlog/model.py
+++ b/birchstack/backlog/model.py
@@ -19,7 +19,7 @@
 
     def __init__(self, folder: object = None, settings: Settings | None = None, now: float = 0.0) -> None:
         self._room = settings.bytes if settings else 1 << 40
-        self._owed: dict[str, Kept] = {}            # in order of arrival
+        self._owed: dict[str, Kept] = {}  # in order of arrival
         self._given: dict[int, list[str]] = {}
 
     def __len__(self) -> int:
--- a/birchstack/backlog/plan.py
+++ b/birchstack/backlog/plan.py
@@ -19,15 +19,15 @@
 from birchstack.backlog import PREFIX
 from birchstack.ledger.records import HEAD, Page, frame
 
-IDS, TIMES = "ids", "times"             # kinds of runs
+IDS, TIMES = "ids", "times"  # kinds of runs
 MANIFEST, BALLAST = PREFIX + "manifest", PREFIX + "ballast"
 BLOCK = 512
 OFFSET = (1 << 32) - 1
-ENTRY = struct.Struct(">dIQ")           # expiry, destination, place: sorts as its bytes, from 0 up
+ENTRY = struct.Struct(">dIQ")  # expiry, destination, place: sorts as its bytes, from 0 up
 ID = struct.Struct(">8sIQ")
 SIZE = ENTRY.size
 PER_PAGE = 128
-PAGE = len(frame(Page(bytes(PER_PAGE * SIZE))))     # all but the last page of a run have this length
+PAGE = len(frame(Page(bytes(PER_PAGE * SIZE))))  # all but the last page of a run have this length
 NEVER = ENTRY.pack(inf, (1 << 32) - 1, (1 << 64) - 1)
 
 
@@ -114,13 +114,14 @@
     All of them once no more than half of their entries can be needed; else some of one size. full: numbers of
     runs that a merge left nearly as they were: none of them is merged again alone, lest it never ends."""
     runs = list(runs)
-    if sum(run.count for run in runs) > 2 * needed + 4 * sizes.flushed \
-            and not (len(runs) == 1 and runs[0].number in full):
+    if sum(run.count for run in runs) > 2 * needed + 4 * sizes.flushed and not (
+        len(runs) == 1 and runs[0].number in full
+    ):
         return runs
     by_level: dict[int, list[Run]] = {}
     for run in runs:
         by_level.setdefault(level(run.count, sizes), []).append(run)
     for at in sorted(by_level):
         if len(by_level[at]) >= sizes.fan:
-            return by_level[at][:sizes.fan]
+            return by_level[at][: sizes.fan]
     return []
--- a/birchstack/backlog/replay.py
+++ b/birchstack/backlog/replay.py
@@ -17,17 +17,17 @@
 class There:
     """One destination's log. Ordinals count the records written since it began."""
 
-    total: int = 0                      # written
-    place: int = 0                      # where what waits begins; records before it are past
-    ordinal: int = 0                    # records before that
-    ahead: int = 0                      # behind it, ended
-    marked: tuple[int, int] = (0, 0)    # up to this place and ordinal, documents are in runs
-    since: float | None = None          # when the first that waits was taken; None: not known, it is on disk
-    passed: float = 0.0                 # not before this
-    open: bool = False                  # its last segment can be written on
-    rotten: bool = False                # something is lost, so counts are not exact until it is empty
-    lost: int = 0                       # found lost by time, and counted in ahead
-    segments: dict[int, list[int]] = field(default_factory=dict)   # by number: records before it, bytes
+    total: int = 0  # written
+    place: int = 0  # where what waits begins; records before it are past
+    ordinal: int = 0  # records before that
+    ahead: int = 0  # behind it, ended
+    marked: tuple[int, int] = (0, 0)  # up to this place and ordinal, documents are in runs
+    since: float | None = None  # when the first that waits was taken; None: not known, it is on disk
+    passed: float = 0.0  # not before this
+    open: bool = False  # its last segment can be written on
+    rotten: bool = False  # something is lost, so counts are not exact until it is empty
+    lost: int = 0  # found lost by time, and counted in ahead
+    segments: dict[int, list[int]] = field(default_factory=dict)  # by number: records before it, bytes
 
     def waiting(self) -> int:
         return max(0, self.total - self.ordinal - self.ahead)
@@ -47,8 +47,14 @@
         for record in records:
             if isinstance(record, State):
                 for destination, where, ordinal, ahead, marked, total, segments in record.destinations:
-                    self.there[destination] = There(total, where, ordinal, ahead, (marked, total),
-                                                    segments={each: [start, 0] for each, start in segments})
+                    self.there[destination] = There(
+                        total,
+                        where,
+                        ordinal,
+                        ahead,
+                        (marked, total),
+                        segments={each: [start, 0] for each, start in segments},
+                    )
             elif isinstance(record, Whole):
                 self.number, self.mark, self.names = record.next, record.mark, set(record.past)
                 self.ended = {ENTRY.unpack(entry)[2]: entry for entry in record.ended}
@@ -60,10 +66,21 @@
                 for entry in record.entries:
                     self._one(entry)
                 self.mark = max(self.mark, record.mark)
-        self.ended = {where: entry for where, entry in self.ended.items() if entry >= self.mark
-                      and (there := self.there.get(ENTRY.unpack(entry)[1])) and where >= there.place}
-        self.number = max([self.number, *self.floors.values(), *self.runs,
-                           *(there.place >> 32 for there in self.there.values())])
+        self.ended = {
+            where: entry
+            for where, entry in self.ended.items()
+            if entry >= self.mark
+            and (there := self.there.get(ENTRY.unpack(entry)[1]))
+            and where >= there.place
+        }
+        self.number = max(
+            [
+                self.number,
+                *self.floors.values(),
+                *self.runs,
+                *(there.place >> 32 for there in self.there.values()),
+            ]
+        )
 
     def _of(self, destination: int) -> There:
         return self.there.setdefault(destination, There())
--- a/birchstack/backlog/runs.py
+++ b/birchstack/backlog/runs.py
@@ -14,9 +14,9 @@
 from birchstack.ledger.records import HEAD, Bits, Page, Scanner, frame, head, unframe
 from birchstack.net.machine import Folder
 
-FALSE = 0.01                            # of the ids that are not in a run, so many are looked for in it
-STRIDE = 512                            # entries handled in one piece of work
-PIECE = 65536                           # of a filter
+FALSE = 0.01  # of the ids that are not in a run, so many are looked for in it
+STRIDE = 512  # entries handled in one piece of work
+PIECE = 65536  # of a filter
 
 
 class Rot(Exception):
@@ -59,8 +59,9 @@
     return Bloom.load_bytes(b"".join(record.piece for _, record in found), _same)
 
 
-def write(folder: Folder, kind: str, number: int, expected: int,
-          entries: Iterable[bytes | None]) -> Generator[None, None, tuple[Run, Bloom | None]]:
+def write(
+    folder: Folder, kind: str, number: int, expected: int, entries: Iterable[bytes | None]
+) -> Generator[None, None, tuple[Run, Bloom | None]]:
     """Writes a run of sorted entries, a piece at each step; None among them only counts as work."""
     run, bloom = Run(kind, number, 0, 0, 0), Bloom(max(1, expected), FALSE, _same) if kind == IDS else None
     handle, held, count, size, work = folder.open(run.name, fresh=True), [], 0, HEAD.size, 0
@@ -88,7 +89,7 @@
             yield
             saved = bloom.save_bytes()
             for at in range(0, len(saved), PIECE):
-                data = frame(Bits(saved[at:at + PIECE]))
+                data = frame(Bits(saved[at : at + PIECE]))
                 whole(folder, handle, data)
                 size += len(data)
                 if at % (8 * PIECE) == 0:
@@ -99,18 +100,21 @@
 
 
 def _paged(entries: list[bytes]) -> bytes:
-    return b"".join(frame(Page(b"".join(entries[at:at + PER_PAGE])))
-                    for at in range(0, len(entries), PER_PAGE))
+    return b"".join(
+        frame(Page(b"".join(entries[at : at + PER_PAGE]))) for at in range(0, len(entries), PER_PAGE)
+    )
 
 
 def merge(folder: Folder, runs: list[Run], counts: Callable[[bytes], bool]) -> Iterator[bytes | None]:
     """The entries of these runs in order; None in place of one that counts no more, or is there twice. Raises
     Rot."""
+
     def each(run: Run) -> Iterator[bytes]:
         for index in range(run.pages):
             entries = page(folder, run, index)
             for at in range(0, len(entries), SIZE):
-                yield entries[at:at + SIZE]
+                yield entries[at : at + SIZE]
+
     last = b""
     for entry in heapq.merge(*map(each, runs)):
         yield entry if entry != last and counts(entry) else None
@@ -119,7 +123,7 @@
 
 def seek(folder: Folder, run: Run, key: bytes) -> tuple[int, int]:
     """Page and offset in it of the first entry from key on; the page behind the last where there is none."""
-    low, high = 0, run.pages            # the page wanted: the last that begins before key, or the first
+    low, high = 0, run.pages  # the page wanted: the last that begins before key, or the first
     while high - low > 1:
         middle = (low + high) // 2
         if page(folder, run, middle)[:SIZE] < key:
@@ -130,7 +134,7 @@
         return 0, 0
     entries = page(folder, run, low)
     for at in range(0, len(entries), SIZE):
-        if entries[at:at + SIZE] >= key:
+        if entries[at : at + SIZE] >= key:
             return low, at
     return low + 1, 0
 
@@ -143,7 +147,7 @@
         while at < len(entries):
             if not entries.startswith(key, at):
                 return
-            yield entries[at:at + SIZE]
+            yield entries[at : at + SIZE]
             at += SIZE
         index, at = index + 1, 0
 
@@ -160,7 +164,7 @@
             self._index, self._at = seek(folder, run, key)
         except Rot as problem:
             rotten(problem)
-            self._index = self._at = 0          # from the beginning: what is past is passed over one by one
+            self._index = self._at = 0  # from the beginning: what is past is passed over one by one
         self._page, self.top = b"", None
         self._load()
 
@@ -172,12 +176,12 @@
             except Rot as problem:
                 self._rotten(problem)
                 self._index, self._at = self._index + 1, 0
-        self.top = self._page[self._at:self._at + SIZE] or None
+        self.top = self._page[self._at : self._at + SIZE] or None
 
     def next(self) -> None:
         self._at += SIZE
         if self._at < len(self._page):
-            self.top = self._page[self._at:self._at + SIZE]
+            self.top = self._page[self._at : self._at + SIZE]
         else:
             self._index, self._at = self._index + 1, 0
             self._load()
--- a/birchstack/backlog/store.py
+++ b/birchstack/backlog/store.py
@@ -61,13 +61,13 @@
 from birchstack.net.log import say
 from birchstack.net.machine import Folder
 
-READ, FIRST = 65536, 16384              # a piece of a segment; the first one
-HANDLES, RUNS_GIVEN = 64, 64            # segments open for writing; destinations whose read() is remembered
-ONE = 4096                              # read for one document at first
+READ, FIRST = 65536, 16384  # a piece of a segment; the first one
+HANDLES, RUNS_GIVEN = 64, 64  # segments open for writing; destinations whose read() is remembered
+ONE = 4096  # read for one document at first
 KINDS = (IDS, TIMES)
-LINE = 256                              # of a document's record beside body and words
-STATES = 128                            # destinations in one record of a snapshot
-REMOVED = 4                             # files removed in one step
+LINE = 256  # of a document's record beside body and words
+STATES = 128  # destinations in one record of a snapshot
+REMOVED = 4  # files removed in one step
 SIZES = Sizes()
 log = logging.getLogger(__name__)
 
@@ -95,26 +95,27 @@
         self._number = 0
         self._there: dict[int, There] = {}
         self._count = self._used = self._unmarked = 0
-        self._behind = 0                            # records from the beginnings on: owed, and ended
-        self.lost = 0                               # documents that rot took, since the start
-        self._mark = at_time(0.0, 0, 0)             # all entries before it are past
+        self._behind = 0  # records from the beginnings on: owed, and ended
+        self.lost = 0  # documents that rot took, since the start
+        self._mark = at_time(0.0, 0, 0)  # all entries before it are past
         self._now = now
-        self._ended: dict[int, bytes] = {}          # those behind the mark that are past, by place
-        self._ends: list[bytes] = []                # a heap of them
-        self._offered: dict[str, tuple[bytes, Kept]] = {}   # by due(), until ended or moved
+        self._ended: dict[int, bytes] = {}  # those behind the mark that are past, by place
+        self._ends: list[bytes] = []  # a heap of them
+        self._offered: dict[str, tuple[bytes, Kept]] = {}  # by due(), until ended or moved
         self._given: OrderedDict[int, list[Given]] = OrderedDict()
-        self._handles: OrderedDict[int, int] = OrderedDict()    # by destination
-        self._past: deque[tuple[str, int]] = deque()    # files that only wait for their removal, and bytes
-        self._fresh: set[int] = set()               # destinations written to since the last mark
+        self._handles: OrderedDict[int, int] = OrderedDict()  # by destination
+        self._past: deque[tuple[str, int]] = deque()  # files that only wait for their removal, and bytes
+        self._fresh: set[int] = set()  # destinations written to since the last mark
         self._jobs: dict[str, Generator[None, None, None]] = {}
-        self._frozen: list[tuple[int, There, int, int, int]] = []   # marks of the flush that goes on
+        self._frozen: list[tuple[int, There, int, int, int]] = []  # marks of the flush that goes on
         self._flushed = 0
-        self._ill = False                           # the disk refused the last step
-        self._rotten: dict[int, Run] = {}           # runs that lost something: made anew from the segments
-        self._hollow: set[int] = set()              # with losses, and maybe nothing left: looked through
+        self._ill = False  # the disk refused the last step
+        self._rotten: dict[int, Run] = {}  # runs that lost something: made anew from the segments
+        self._hollow: set[int] = set()  # with losses, and maybe nothing left: looked through
         self._damaged: set[tuple[int, int]] = set()
-        self._index = Index(folder, self._next, {IDS: self._counts_id, TIMES: self._counts_time}, self._rot,
-                            sizes)
+        self._index = Index(
+            folder, self._next, {IDS: self._counts_id, TIMES: self._counts_time}, self._rot, sizes
+        )
         self._manifest = Manifest(folder, self._next, sizes.logged)
         self._recover()
 
@@ -141,8 +142,9 @@
             what, number = parse(name) or ("", 0)
             if what.isdecimal() and name not in past.names and number > past.floors.get(int(what), 0):
                 files.setdefault(int(what), []).append(number)
-            elif (what.isdecimal() or what in KINDS and number not in past.runs
-                  or name.startswith(MANIFEST)) and name != self._manifest.name:
+            elif (
+                what.isdecimal() or what in KINDS and number not in past.runs or name.startswith(MANIFEST)
+            ) and name != self._manifest.name:
                 size = self._folder.size(name) if what.isdecimal() else 0
                 self._used += blocks(size)
                 self._remove(name, size)
@@ -152,7 +154,7 @@
             except (Rot, OSError) as problem:
                 say(log, "an index is lost; it is made anew", logging.ERROR, file=run.name, problem=problem)
                 self._rotten[run.number] = run
-        with contextlib.suppress(OSError):          # tried again by step()
+        with contextlib.suppress(OSError):  # tried again by step()
             if not records:
                 self._snapshot()
         for destination, numbers in files.items():
@@ -178,19 +180,19 @@
                 offset = at & OFFSET if number == at >> 32 else HEAD.size
                 clean = self._tail(destination, there, number, offset)
             if number < first or number not in known and before == there.total:
-                there.segments.pop(number, None)    # left behind, or nothing was written whole
+                there.segments.pop(number, None)  # left behind, or nothing was written whole
                 self._remove(name, size)
                 continue
             there.segments[number] = [start, size]
             there.place = there.place or place(number, HEAD.size)
             there.open = clean and size < self._sizes.sealed
-            if self._index.wants_flush():           # where no mark tells of it: not to hold all of it
+            if self._index.wants_flush():  # where no mark tells of it: not to hold all of it
                 with contextlib.suppress(OSError):
                     for _ in self._flush():
                         pass
         there.rotten = any(number >= first and number not in there.segments for number in known)
         last, begin = max([*numbers, *known], default=0), next(iter(there.segments), 0)
-        if there.rotten and there.place >> 32 != begin:     # the first segment is gone
+        if there.rotten and there.place >> 32 != begin:  # the first segment is gone
             behind = there.segments[begin][0] if begin else there.total
             self._gone(destination, there, behind - there.ordinal)
             there.place, there.ordinal = place(begin, HEAD.size), behind
@@ -259,12 +261,12 @@
     def append(self, kept: Kept) -> None:
         there = self._there.get(kept.destination) or There()
         if len(self._index.tail) >= 2 * self._sizes.flushed:
-            self.step()                             # whoever appends and never steps still stays bounded
+            self.step()  # whoever appends and never steps still stays bounded
             if len(self._index.tail) >= 4 * self._sizes.flushed:
                 raise OSError("the index of the backlog cannot be written")
         try:
             data, first = frame(kept), b""
-        except UnicodeError as problem:             # half a character in a name
+        except UnicodeError as problem:  # half a character in a name
             raise OSError(f"not to be recorded: {problem}") from problem
         number = next(reversed(there.segments), 0)
         size = there.segments[number][1] if there.open else 0
@@ -272,7 +274,7 @@
             number, size = self._next(), HEAD.size
             first = head(number)
         where = place(number, size)
-        if at_time(kept.expiry, kept.destination, where) < self._mark:      # it is due, and comes next
+        if at_time(kept.expiry, kept.destination, where) < self._mark:  # it is due, and comes next
             kept = msgspec.structs.replace(kept, expiry=nextafter(ENTRY.unpack(self._mark)[0], inf))
             data = frame(kept)
         try:
@@ -282,7 +284,7 @@
                 raise OSError(f"{written} of {len(data)} bytes written")
         except OSError:
             self._close(kept.destination)
-            there.open = False                      # what may be torn there is followed by nothing
+            there.open = False  # what may be torn there is followed by nothing
             if first:
                 self._past.append((segment(kept.destination, number), 0))
             raise
@@ -400,7 +402,7 @@
             given, _ = self._look(destination, there, count)
         passed = at = 0
         given = [each for each in given if each.end > there.place]
-        for at, each in enumerate(given, 1):        # noqa: B007
+        for at, each in enumerate(given, 1):  # noqa: B007
             passed += not each.past
             if passed == count:
                 break
@@ -418,10 +420,10 @@
         ahead = there.ahead - sum(self._is_past(each.entry, each.where) for each in given)
         if ends or ordinal == there.total:
             ordinal, ends = there.total, True
-        gap = ordinal - there.ordinal - len(given)      # records that could not be read
+        gap = ordinal - there.ordinal - len(given)  # records that could not be read
         known = min(gap, there.lost)
         if not (there.rotten or gap) and there.total - ordinal == ahead:
-            ends = True                                 # all behind it have had their end
+            ends = True  # all behind it have had their end
         last = next(reversed(there.segments), 0)
         if must or ends or to >> 32 != there.place >> 32:
             words = (0, last, 0) if ends else (to, ordinal, ahead - known)
@@ -445,8 +447,14 @@
     def _gone(self, destination: int, there: There, count: int) -> None:
         """Their records cannot be read any more."""
         self.lost, there.rotten = self.lost + count, True
-        say(log, "documents lost", logging.ERROR, count=count, offset=there.place & OFFSET,
-            after=segment(destination, there.place >> 32))
+        say(
+            log,
+            "documents lost",
+            logging.ERROR,
+            count=count,
+            offset=there.place & OFFSET,
+            after=segment(destination, there.place >> 32),
+        )
 
     def _emptied(self, destination: int, there: There) -> None:
         """Nothing waits there any more, and that is noted."""
@@ -490,7 +498,7 @@
                 break
             if self._counts_time(top):
                 expiry, destination, where = ENTRY.unpack(top)
-                kept = self._at(destination, where)     # OSError: the entry stays
+                kept = self._at(destination, where)  # OSError: the entry stays
                 if kept is None:
                     self._lose(top, destination, where)
                 elif at_time(kept.expiry, destination, where) == top and kept.id not in self._offered:
@@ -532,7 +540,7 @@
         """After a start: what the sender's own ledger knows of, ended or not, is past here."""
         ids = [*ids]
         self.ended(ids)
-        if self._rotten:        # some may have been missed, and would go twice: the index first, however long
+        if self._rotten:  # some may have been missed, and would go twice: the index first, however long
             while self._rotten and self.step():
                 pass
             self.ended(ids)
@@ -548,11 +556,11 @@
             there.ahead += 1
             there.since = None
         tops = [self._index.top() or NEVER, after(self._now), *(entry for entry, _ in self._offered.values())]
-        if not self._rotten:                        # else some are in no index, and must not be passed
+        if not self._rotten:  # else some are in no index, and must not be passed
             self._mark = max(self._mark, min(tops))
         while self._ends and self._ends[0] < self._mark:
             self._ended.pop(ENTRY.unpack(heapq.heappop(self._ends))[2], None)
-        if len(self._ends) > 2 * len(self._ended) + 1024:       # of those that were left behind since
+        if len(self._ends) > 2 * len(self._ended) + 1024:  # of those that were left behind since
             self._ends = sorted(self._ended.values())
         emptied = [each for each, there in touched.items() if not there.waiting() and not there.rotten]
         over = [Moved(each, 0, next(reversed(touched[each].segments), 0), 0) for each in emptied]
@@ -679,12 +687,14 @@
             self._manifest.note([Marks(marks, added, [run.number for run in removed])], must=True)
             for _, there, number, size, total in self._frozen:
                 there.marked = place(number, size), total
+
         yield from index.flush(lambda: self._mark, record)
         self._flushed += 1
 
     def _merge(self, runs: list[Run]) -> Generator[None, None, None]:
         def record(added: list[Run], removed: list[Run]) -> None:
             self._manifest.note([Marks([], added, [run.number for run in removed])], must=True)
+
         for run in (yield from self._index.merge(runs, lambda: self._mark, record)):
             self._past.append((run.name, 0))
 
@@ -701,9 +711,10 @@
             at, more = there.place, True
             while more and self._there.get(destination) is there:
                 seen, more = 0, False
-                rest = There(place=max(at, there.place),
-                             segments={each: [*words] for each, words in there.segments.items()
-                                       if each >= at >> 32})
+                rest = There(
+                    place=max(at, there.place),
+                    segments={each: [*words] for each, words in there.segments.items() if each >= at >> 32},
+                )
                 for where, end, _, kept in self._scan(destination, rest):
                     at, seen = end, seen + 1
                     entry = at_time(kept.expiry, destination, where)
@@ -715,7 +726,7 @@
                 yield
                 while index.wants_flush():
                     yield
-        until = self._flushed + 2           # the first may have been frozen before
+        until = self._flushed + 2  # the first may have been frozen before
         while self._flushed < until:
             self._unmarked = max(self._unmarked, self._sizes.unmarked + 1)
             yield
@@ -724,10 +735,18 @@
         self._rotten = {number: run for number, run in self._rotten.items() if number not in old}
 
     def _snapshot(self) -> None:
-        states = [(destination, there.place, there.ordinal, there.ahead, *there.marked,
-                   [(number, start) for number, (start, _) in there.segments.items()])
-                  for destination, there in self._there.items()]
-        records: list[Record] = [State(states[at:at + STATES]) for at in range(0, len(states), STATES)]
+        states = [
+            (
+                destination,
+                there.place,
+                there.ordinal,
+                there.ahead,
+                *there.marked,
+                [(number, start) for number, (start, _) in there.segments.items()],
+            )
+            for destination, there in self._there.items()
+        ]
+        records: list[Record] = [State(states[at : at + STATES]) for at in range(0, len(states), STATES)]
         records.append(Marks([], list({**self._rotten, **self._index.runs}.values()), []))
         ended = [entry for where, entry in self._ended.items()]
         old = self._manifest.name
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -19,42 +19,42 @@
 from birchstack.interface import BINDING, CANCELLED, CONNECT_FAILED, FULL, NUMBERED, OK, READY, UNSENT
 from birchstack.state import MARK, Average, Call, Classes, Document, Fading, Keys, Meter, Place, Ring, mark
 
-TOKENS, TOKEN_PER_TRANSMISSION = 10.0, 0.1     # the bucket that pays for repeats
-REPEAT_SHARE, SPARE_REPEATS = 0.25, 0.25       # most repeats for each first try, and a second besides
-PAUSE_MS, LONGEST_PAUSE_MS = 100.0, 2000.0     # full jitter
-NEVER_RAN = (FULL, CONNECT_FAILED, UNSENT)     # outcomes that prove that the document had no effect
-LEAST_PATIENCE_MS = 2000.0                     # no time-out below this: destinations pause and stall; but
-LEAST_PART, BUSY_MS = 0.3, 1000.0              # only this part where slots were all taken for such a while
-PATIENCE, HASTY = 8.0, 5.0                     # a time-out is so many usual answer times; while slots are
-SCARCE = 0.75                                  # scarce, that is such a share of them taken: the hasty one
-STREAK, BRIEF, ILL_SHARE = 3, 2, 0.5           # failures in a row, more if brief, or share of calls: ill;
-DOUBT_SHARE, FAILED_PART = 0.25, 0.03          # in doubt: binding ones wait; so many failed before a restart
-SLOW, OVERDUE_MS, OVERDUE = 3.0, 500.0, 4.0    # slow: so many usual times; or a call out so long, and so many
-TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0     # pause between cautious calls to an ill endpoint, or the
-TRIAL_EVERY, SICK_PART = 2000.0, 0.5           # usual time of 2 documents; of half the slots for the sick
-CUT, CUT_ALONE, STEP, STEP_ALONE = 0.6, 0.2, 0.2, 0.1   # share of a limit: cut, and growth a second, of one
-OWN_PART, FEARED_PART = 2.0, 0.4               # of many and more if alone; in parts: so many times its own
-LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4            # room under a limit: cut below; slow down below
-ROOM_MS, CUT_EVERY_MS = 1000.0, 300.0          # a report of room is believed so long; cuts are no closer
-LEAST_TOGETHER, LEAST_PACE = 4.0, 0.5          # calls a second to a destination, of all senders, of one
-SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0         # refusing all for so long, or telling a longer wait: shut
-GUESSED_TOP, BURST = 4.0, 0.25                 # a limit not told over the first rate; seconds of the pace
-OUTAGE_MS = 1000.0                             # all failed so long: cold, if served again
-ASK_MS, LONGEST_ASK_MS, EARLY_MS = 500.0, 8000.0, 1.0   # before asking for the list; an alarm may be early
-CALL_MS, FORGET = 100.0, 64                    # a call takes so long at least; so many empty ones are kept
+TOKENS, TOKEN_PER_TRANSMISSION = 10.0, 0.1  # the bucket that pays for repeats
+REPEAT_SHARE, SPARE_REPEATS = 0.25, 0.25  # most repeats for each first try, and a second besides
+PAUSE_MS, LONGEST_PAUSE_MS = 100.0, 2000.0  # full jitter
+NEVER_RAN = (FULL, CONNECT_FAILED, UNSENT)  # outcomes that prove that the document had no effect
+LEAST_PATIENCE_MS = 2000.0  # no time-out below this: destinations pause and stall; but
+LEAST_PART, BUSY_MS = 0.3, 1000.0  # only this part where slots were all taken for such a while
+PATIENCE, HASTY = 8.0, 5.0  # a time-out is so many usual answer times; while slots are
+SCARCE = 0.75  # scarce, that is such a share of them taken: the hasty one
+STREAK, BRIEF, ILL_SHARE = 3, 2, 0.5  # failures in a row, more if brief, or share of calls: ill;
+DOUBT_SHARE, FAILED_PART = 0.25, 0.03  # in doubt: binding ones wait; so many failed before a restart
+SLOW, OVERDUE_MS, OVERDUE = 3.0, 500.0, 4.0  # slow: so many usual times; or a call out so long, and so many
+TRIAL_MS, LONGEST_TRIAL_MS = 300.0, 2000.0  # pause between cautious calls to an ill endpoint, or the
+TRIAL_EVERY, SICK_PART = 2000.0, 0.5  # usual time of 2 documents; of half the slots for the sick
+CUT, CUT_ALONE, STEP, STEP_ALONE = 0.6, 0.2, 0.2, 0.1  # share of a limit: cut, and growth a second, of one
+OWN_PART, FEARED_PART = 2.0, 0.4  # of many and more if alone; in parts: so many times its own
+LITTLE_ROOM, ENOUGH_ROOM = 0.2, 0.4  # room under a limit: cut below; slow down below
+ROOM_MS, CUT_EVERY_MS = 1000.0, 300.0  # a report of room is believed so long; cuts are no closer
+LEAST_TOGETHER, LEAST_PACE = 4.0, 0.5  # calls a second to a destination, of all senders, of one
+SHUT_MS, LONG_WAIT_MS = 3000.0, 2000.0  # refusing all for so long, or telling a longer wait: shut
+GUESSED_TOP, BURST = 4.0, 0.25  # a limit not told over the first rate; seconds of the pace
+OUTAGE_MS = 1000.0  # all failed so long: cold, if served again
+ASK_MS, LONGEST_ASK_MS, EARLY_MS = 500.0, 8000.0, 1.0  # before asking for the list; an alarm may be early
+CALL_MS, FORGET = 100.0, 64  # a call takes so long at least; so many empty ones are kept
 IDLE_MS = (250.0, 500.0, 1000.0, 2000.0, 4000.0, 8000.0)  # classes of idle time of a connection
 STALE_PART, STALE_SHARE, STALE_FOR_MS = 0.25, 0.4, 20000.0  # calls reset after it; how long that is believed
 NORM_PART, TOLD, TOLD_AT_ONCE = 0.05, 20.0, 3.0  # notes a second of all senders; of one at once
-BUCKET_MS, BUCKETS, RAMP = 1000.0, 8, 1.2      # served calls; a cold one gets
-NOTE_MS, WORD_MS, CROWDED_MS = 500.0, 1000.0, 60000.0   # between notes; till half faded; none idle if denied
-WORDS, WORD_LIMIT = 2.2, 1.5                   # failures told: so many are ill, or hold binding documents
-LEAST_TRIALS, TRIAL_PART, WORD_PART = 2.0, 0.1, 0.3     # trials a second, of all senders; of their usual
-FAILED, WAIT, SERVES, BACK, CROWD = "f", "w", "s", "b", "k"     # what notes tell of an endpoint
-LONGEST_TOLD_MS, STALL_MS = 30000.0, 300.0     # others' waits are held so long at most; late: stood still
-WARM_LEAST_MS, SURE = 4000.0, 1.5              # what waits goes over so long at least; warmth, where told of
+BUCKET_MS, BUCKETS, RAMP = 1000.0, 8, 1.2  # served calls; a cold one gets
+NOTE_MS, WORD_MS, CROWDED_MS = 500.0, 1000.0, 60000.0  # between notes; till half faded; none idle if denied
+WORDS, WORD_LIMIT = 2.2, 1.5  # failures told: so many are ill, or hold binding documents
+LEAST_TRIALS, TRIAL_PART, WORD_PART = 2.0, 0.1, 0.3  # trials a second, of all senders; of their usual
+FAILED, WAIT, SERVES, BACK, CROWD = "f", "w", "s", "b", "k"  # what notes tell of an endpoint
+LONGEST_TOLD_MS, STALL_MS = 30000.0, 300.0  # others' waits are held so long at most; late: stood still
+WARM_LEAST_MS, SURE = 4000.0, 1.5  # what waits goes over so long at least; warmth, where told of
 
 
-def overdue(ep: Place, now: float) -> bool:     # nothing is served, and an answer is late; time-outs lag
+def overdue(ep: Place, now: float) -> bool:  # nothing is served, and an answer is late; time-outs lag
     since = max(ep.ok_at, ep.calls[0]) if ep.calls else now
     return now - since > max(OVERDUE_MS, OVERDUE * (ep.usual_ms or ep.norm.value))
 
@@ -68,25 +68,28 @@
     def __init__(self, destination: Destination, per_call: int, limit: float, now: float) -> None:
         self.destination = destination
         self.endpoints: list[Place] = []
-        self.ill_at, self.away_ms = now, 0.0        # since when it is ill, and how long it was the last time
+        self.ill_at, self.away_ms = now, 0.0  # since when it is ill, and how long it was the last time
         self.row, self.failed_at, self.refused = 0, now, 0  # failures since it served, since when; refusals
-        self.wait_until, self.hold_until, self.equal = 0.0, 0.0, float("inf")   # told; others were; its part
+        self.wait_until, self.hold_until, self.equal = 0.0, 0.0, float("inf")  # told; others were; its part
         self.per_call, self.trial_at, self.trial_ms, self.ramp = per_call, 0.0, TRIAL_MS, Meter(now)
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
         self.room, self.room_at, self.meter, self.served = 1.0, now, Meter(now), Ring(now, BUCKET_MS, BUCKETS)
 
-    def wait_ms(self, now: float, least: float) -> float:   # of a told wait, and until the pace allows a call
+    def wait_ms(self, now: float, least: float) -> float:  # of a told wait, and until the pace allows a call
         until = max(self.wait_until, self.hold_until)
         if now < until or not self.limit:
             return max(0.0, until - now)
         room = self.room if now - self.room_at < ROOM_MS else 1.0
-        pace = max(self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)),
-                   min(LEAST_PACE, least))
+        pace = max(
+            self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)), min(LEAST_PACE, least)
+        )
         return self.meter.wait_ms(now, pace, max(1.0, pace * BURST))
 
     def troubled(self, now: float) -> bool:
-        return any(ep.state == READY and (ep.ill or ep.recent_ms > SLOW * ep.usual_ms or overdue(ep, now))
-                   for ep in self.endpoints)        # ill, slow or late
+        return any(
+            ep.state == READY and (ep.ill or ep.recent_ms > SLOW * ep.usual_ms or overdue(ep, now))
+            for ep in self.endpoints
+        )  # ill, slow or late
 
     def grow(self, now: float, own: float, top: float) -> None:
         step = own * (STEP + STEP_ALONE * own) * min(1.0, (now - self.steered_at) / 1000.0)
@@ -96,16 +99,16 @@
         self.steered_at = now
         if now >= self.cut_at:
             self.share = max(min(self.share, own) * (CUT + CUT_ALONE * own), least)
-            self.cut_at = now + CUT_EVERY_MS        # signs of one moment are one sign
+            self.cut_at = now + CUT_EVERY_MS  # signs of one moment are one sign
 
 
-class Destination:      # its line of documents, the bucket for repeats and the window
+class Destination:  # its line of documents, the bucket for repeats and the window
     def __init__(self, number: int, settings: our.Settings, turn: int, now: float) -> None:
         self.number, self.since, self.found = number, now, False
-        self.taken = self.failed = self.kept = 0    # kept: on disk
+        self.taken = self.failed = self.kept = 0  # kept: on disk
         self.routes: list[Route] = []
         self.line: list[Document] = []
-        self.window, self.tokens, self.out, self.turn = float("inf"), TOKENS, 0, turn   # calls out; turns
+        self.window, self.tokens, self.out, self.turn = float("inf"), TOKENS, 0, turn  # calls out; turns
         self.resize(settings)
 
     def resize(self, settings: our.Settings) -> None:
@@ -113,10 +116,10 @@
         self.half, self.top = max(1, slots // 2), max(1, slots * 3 // 4)
         self.window = float(self.half) if self.window > 1e9 else min(self.window, float(self.top))
 
-    def rate(self, now: float) -> float:    # documents a second; of all senders, what it usually gets
+    def rate(self, now: float) -> float:  # documents a second; of all senders, what it usually gets
         return max(self.least, self.taken * 1000.0 / max(now - self.since, BUCKETS * BUCKET_MS))
 
-    def usual(self, now: float) -> float:       # for one of its routes
+    def usual(self, now: float) -> float:  # for one of its routes
         return self.rate(now) / max(1, len(self.routes))
 
     def used(self, now: float) -> bool:
@@ -133,21 +136,21 @@
         self._set, self._host = settings, host
         self._types, self._draw = {kind.name: kind for kind in settings.types}, random.Random(seed).uniform
         self._destinations: dict[int, Destination] = {}
-        self._begin = int(self._draw(0.0, 64.0))    # many senders begin at different endpoints
-        self._endpoints, self._marks = {}, {}       # by name, and by what notes call them
-        self._norm, self._notes = Average(NORM_PART), Meter(0.0)    # of answer times; of notes told
-        self._held, self._flying, self._keys = {}, {}, Keys()    # and ended while a transmission is out
+        self._begin = int(self._draw(0.0, 64.0))  # many senders begin at different endpoints
+        self._endpoints, self._marks = {}, {}  # by name, and by what notes call them
+        self._norm, self._notes = Average(NORM_PART), Meter(0.0)  # of answer times; of notes told
+        self._held, self._flying, self._keys = {}, {}, Keys()  # and ended while a transmission is out
         self._ends: list[tuple[float, int, Document]] = []
         self._order, self._out, self._alarm, self._stirred = 0, 0, float("inf"), True
-        self._idle = Classes(IDLE_MS, STALE_PART, STALE_SHARE, STALE_FOR_MS)    # resets, by idle time before
+        self._idle = Classes(IDLE_MS, STALE_PART, STALE_SHARE, STALE_FOR_MS)  # resets, by idle time before
         self._crowded_until: dict[int, float] = {}  # by kind: none is kept idle until then
         self._firsts, self._repeats = (Ring(0.0, BUCKET_MS, BUCKETS) for _ in range(2))
         self._dialled, self._lying, self._repeats_held = [], {}, False  # called, and idle, since a turn
-        self._failed: dict[int, Destination] = {}   # with documents that failed before a restart
-        self._sure = False              # whether a list was told since the start: one from before may be old
-        self._busy, self._level, self._turned, self._ask_ms = 0.0, 0.0, 0.0, ASK_MS     # parts of slots
-        self._ask_at = self._draw(0.0, ASK_MS) if settings.list_on_request else float("inf")    # spread
-        self._quotas, self._traffic = dict(settings.tenants), {}    # and documents taken, by tenant
+        self._failed: dict[int, Destination] = {}  # with documents that failed before a restart
+        self._sure = False  # whether a list was told since the start: one from before may be old
+        self._busy, self._level, self._turned, self._ask_ms = 0.0, 0.0, 0.0, ASK_MS  # parts of slots
+        self._ask_at = self._draw(0.0, ASK_MS) if settings.list_on_request else float("inf")  # spread
+        self._quotas, self._traffic = dict(settings.tenants), {}  # and documents taken, by tenant
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
         """The list, or changes to it; one that is ready again after a drain, or out by hand, is cold."""
@@ -157,17 +160,17 @@
             self._ask_ms = min(LONGEST_ASK_MS, deemed_told, self._ask_ms * 2.0)
             self._ask_at = now + self._draw(0.5, 1.0) * self._ask_ms
             return
-        if mode != our.CHANGES:                     # what a whole list leaves out is gone
+        if mode != our.CHANGES:  # what a whole list leaves out is gone
             for ep in self._endpoints.values():
                 ep.state = our.GONE
         for entry in entries:
             if entry.name not in self._endpoints:
                 self._join(now, entry)
             ep = self._endpoints[entry.name]
-            if ep.kind != entry.kind:               # known of late: other settings
+            if ep.kind != entry.kind:  # known of late: other settings
                 ep.kind = entry.kind
                 self._regroup(now, ep.route.destination)
-            if ep.state == our.DRAINING and entry.state == READY:   # a whole list tells no return
+            if ep.state == our.DRAINING and entry.state == READY:  # a whole list tells no return
                 ep.back_at = now
             ep.state = entry.state
         for ep in [ep for ep in self._endpoints.values() if ep.state == our.GONE]:
@@ -180,8 +183,17 @@
         if len(self._destinations) > len(self._endpoints) + FORGET:
             self._destinations = {each: dest for each, dest in self._destinations.items() if dest.used(now)}
 
-    def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
-                 key: str | None, past: our.Past = our.NO_PAST, tenant: str | None = None) -> None:
+    def document(
+        self,
+        now: float,
+        doc_id: str,
+        destination: int,
+        type_name: str,
+        left_ms: float,
+        key: str | None,
+        past: our.Past = our.NO_PAST,
+        tenant: str | None = None,
+    ) -> None:
         self._order, self._stirred = self._order + 1, True
         dest = self._destination(destination, now)
         dest.taken, dest.failed = dest.taken + 1, dest.failed + past.failed
@@ -189,14 +201,14 @@
         if past.failed:
             self._failed[destination] = dest
         doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
-        if tenant in self._quotas:      # beyond its share by its own documents times the senders: worth less
+        if tenant in self._quotas:  # beyond its share by its own documents times the senders: worth less
             taken = self._traffic.setdefault(tenant, Ring(-BUCKETS * BUCKET_MS, BUCKET_MS, BUCKETS))
             taken.add(now)
             beyond = max(0.0, 1.0 - self._quotas[tenant] / (taken.rate(now) * self._set.senders))
             doc.worth = 1.0 - beyond * (1.0 - self._set.over_share)
         if key is not None and doc.kind.in_order:
             doc.keyline = self._keys.join(now, key, doc)
-            if doc.doubt:               # what was out when its sender ended may still run
+            if doc.doubt:  # what was out when its sender ended may still run
                 doc.keyline.rest(now + self._set.key_rest_ms, doc)
         self._held[doc_id], doc.path = doc, self._deliver(doc)
         self._resume(now, doc, None)
@@ -214,7 +226,7 @@
         if call.docs == 0:
             self._hang_up(now, doc.destination, call, outcome.kind, outcome.kept)
         if not call.heard and outcome.kind not in (UNSENT, CANCELLED):
-            self._learn(now, doc.destination, call, outcome)    # once, however many share the call
+            self._learn(now, doc.destination, call, outcome)  # once, however many share the call
         call.heard = True
         if outcome.kind not in NEVER_RAN and outcome.kind != OK:
             doc.doubt.append((call.left_at, call.ep.zone))
@@ -229,20 +241,20 @@
         return self._destinations[number]
 
     def recall(self, now: float, endpoint: str, wait_ms: float, back_ms: float) -> None:  # of the one before
-        if ep := self._endpoints.get(endpoint):     # a wait told, and how long ago it was back from a drain
+        if ep := self._endpoints.get(endpoint):  # a wait told, and how long ago it was back from a drain
             ep.route.wait_until = max(ep.route.wait_until, now + wait_ms)
             if wait_ms > LONG_WAIT_MS:
                 self._falls_ill(now, ep.route.destination, ep.route, ep, FULL)
             ep.back_at = now - back_ms if back_ms >= 0.0 else ep.back_at
 
-    def avoided(self) -> list[str]:     # for the figures: listed as ready, yet only trials go there
+    def avoided(self) -> list[str]:  # for the figures: listed as ready, yet only trials go there
         return [ep.name for ep in self._endpoints.values() if ep.ill and ep.state == READY]
 
-    def stands(self, now: float, doc_id: str) -> bool:      # its connection may have come up late
+    def stands(self, now: float, doc_id: str) -> bool:  # its connection may have come up late
         doc = self._held.get(doc_id)
         if doc is None or doc.out is None or self._barred(now, doc, doc.out.ep):
             return False
-        doc.out.left_at = now           # from here on it may run, and its window counts
+        doc.out.left_at = now  # from here on it may run, and its window counts
         return True
 
     def withdrawn(self, now: float, doc_id: str) -> None:
@@ -252,10 +264,10 @@
 
     def turn(self, now: float) -> None:
         """Ends the events of one time: gives up what is out of reach, then fills the places that are free."""
-        if not self._stirred and now < self._alarm - EARLY_MS:     # only notes came, and they free nothing
+        if not self._stirred and now < self._alarm - EARLY_MS:  # only notes came, and they free nothing
             return
         self._stirred = False
-        for dest in [self._failed.pop(each) for each in [*self._failed]]:      # before a restart
+        for dest in [self._failed.pop(each) for each in [*self._failed]]:  # before a restart
             for ep in [each for route in dest.routes for each in route.endpoints]:
                 ep.ill |= dest.kept > 0 or dest.failed >= max(STREAK, FAILED_PART * dest.taken)  # one call
             dest.failed = 0
@@ -273,7 +285,7 @@
         self._hopeless(now)
         self._make_room(now)
         self._fill(now)
-        for ep in self._lying.values():     # kept by many, they shut others out
+        for ep in self._lying.values():  # kept by many, they shut others out
             if ep.idle and (now < self._crowded_until.get(ep.kind, 0.0) or ep.state == our.GONE):
                 self._host.close_idle(ep.name)
                 ep.idle.clear()
@@ -287,21 +299,21 @@
         """One document from its taking to its answer. Yields a pause, then where to send it."""
         pause = 0.0
         while doc.sent < self._set.max_transmissions and not doc.lost():
-            place = yield pause                     # in line, until a place comes free
-            if place is None:                       # the time left no longer covers a call
+            place = yield pause  # in line, until a place comes free
+            if place is None:  # the time left no longer covers a call
                 break
             outcome = yield place
             if outcome.kind == CANCELLED or doc.lost():
                 break
-            if outcome.kind == UNSENT:              # it never left: no evidence, no repeat
+            if outcome.kind == UNSENT:  # it never left: no evidence, no repeat
                 pause = PAUSE_MS
                 continue
             longest = 0.0 if outcome.wait_ms > 0 else LONGEST_PAUSE_MS  # a told wait replaces the draw
-            pause = self._draw(0.0, min(longest, PAUSE_MS * 2.0 ** doc.repeats))
+            pause = self._draw(0.0, min(longest, PAUSE_MS * 2.0**doc.repeats))
             doc.repeats += 1
         yield self._finish(doc)
 
-    def _resume(self, now: float, doc: Document, word: object) -> None:     # goes on until it waits again
+    def _resume(self, now: float, doc: Document, word: object) -> None:  # goes on until it waits again
         wish = doc.path.send(word)
         if isinstance(wish, float):
             doc.ready_at = now + wish
@@ -312,10 +324,16 @@
 
     # The two doors: everything sent and everything answered passes here, with the rules on guard
 
-    def _barred(self, now: float, doc: Document, ep: Place) -> bool:    # a rule forbids this transmission
-        if doc.over or doc.lost() or now >= min(doc.expiry, doc.known_until() - CALL_MS) \
-                or ep.state != READY or now < ep.route.wait_until \
-                or doc.keyline and not doc.keyline.allows(doc, now):
+    def _barred(self, now: float, doc: Document, ep: Place) -> bool:  # a rule forbids this transmission
+        if (
+            doc.over
+            or doc.lost()
+            or now >= min(doc.expiry, doc.known_until() - CALL_MS)
+            or ep.state != READY
+            or now < ep.route.wait_until
+            or doc.keyline
+            and not doc.keyline.allows(doc, now)
+        ):
             return True
         return doc.known_until() < float("inf") and doc.kind.one_zone and ep.zone != doc.doubt[0][1]
 
@@ -340,7 +358,7 @@
         self._out, dest.out = self._out + 1, dest.out + 1
         ep.calls.append(now)
         ep.trials += ep.ill
-        for meter in (ep.route.meter, ep.route.ramp)[:1 + (ep.ill or ep.back_at is not None)]:
+        for meter in (ep.route.meter, ep.route.ramp)[: 1 + (ep.ill or ep.back_at is not None)]:
             meter.credit = max(0.0, meter.credit - 1.0)
         return Call(ep, now, idle_ms)
 
@@ -348,7 +366,7 @@
         self._out, dest.out = self._out - 1, dest.out - 1
         call.ep.calls.remove(call.sent_at)
         call.ep.trials -= call.trial
-        if kind == our.TIMEOUT:         # the endpoint or the connection? the next new connection tells
+        if kind == our.TIMEOUT:  # the endpoint or the connection? the next new connection tells
             call.ep.blamed = 0.0 if call.trial else call.idle_ms
         elif kind != CONNECT_FAILED:
             self._idle.learn(now, call.idle_ms, kind == our.RESET)
@@ -377,12 +395,12 @@
 
     # Filling free places
 
-    def _fill(self, now: float) -> None:        # while slots are free the best document that has a place goes
-        if self._out >= self._set.slots:            # an outcome brings the next turn
+    def _fill(self, now: float) -> None:  # while slots are free the best document that has a place goes
+        if self._out >= self._set.slots:  # an outcome brings the next turn
             return
-        best, self._sick = {}, (-1, 0)              # calls out to the troubled, when so many were out
+        best, self._sick = {}, (-1, 0)  # calls out to the troubled, when so many were out
         self._repeats_held = self._repeats.rate(now) > self._firsts.rate(now) * REPEAT_SHARE + SPARE_REPEATS
-        if self._repeats_held:                      # the design's bound, for many full buckets
+        if self._repeats_held:  # the design's bound, for many full buckets
             self._wake(now, now + BUCKET_MS)
         for dest in self._destinations.values():
             if dest.line:
@@ -402,7 +420,7 @@
     def _look(self, now: float, dest: Destination, best: dict[int, tuple]) -> None:
         if not (places := self._places(now, dest)):
             return
-        found, joining = None, places[0].joinable()      # a call that leaves takes all it can
+        found, joining = None, places[0].joinable()  # a call that leaves takes all it can
         for doc in dest.line:
             if doc.keyline and doc.keyline.rest_until > now:
                 self._wake(now, doc.keyline.rest_until)
@@ -415,7 +433,7 @@
             for ep in places:
                 doubtful = ep.doubtful > DOUBT_SHARE or overdue(ep, now) or ep.word.at(now) > WORD_LIMIT
                 if doubtful and doc.kind.effect == BINDING:
-                    self._wake(now, now + WORD_MS)      # what was told fades, and no event says so
+                    self._wake(now, now + WORD_MS)  # what was told fades, and no event says so
                 elif not self._barred(now, doc, ep):
                     found = rank, doc, ep
                     break
@@ -439,17 +457,27 @@
             for ep in [each for each in route.endpoints if each.state == READY]:
                 if ep.ill and now < route.trial_at:
                     self._wake(now, route.trial_at)
-                elif not (ep.ill and any(each.trials for each in route.endpoints)) \
-                        and self._ramped(now, dest, route, ep):
+                elif not (ep.ill and any(each.trials for each in route.endpoints)) and self._ramped(
+                    now, dest, route, ep
+                ):
                     (trials if ep.ill else places).append(ep)
-        count = sum(len(route.endpoints) for route in dest.routes)      # where a connection lies idle first
+        count = sum(len(route.endpoints) for route in dest.routes)  # where a connection lies idle first
         places.sort(key=lambda ep: (len(ep.calls), not ep.idle, (ep.number - dest.turn) % count))
         return trials + places
 
-    def _spares(self, now: float, dest: Destination) -> bool:   # the sick must not fill the slots together
-        if self._sick[0] != self._out:              # counted again in a turn only after a call
-            self._sick = self._out, sum(len(ep.calls) for each in self._destinations.values() if each.out
-                                        for it in each.routes if it.troubled(now) for ep in it.endpoints)
+    def _spares(self, now: float, dest: Destination) -> bool:  # the sick must not fill the slots together
+        if self._sick[0] != self._out:  # counted again in a turn only after a call
+            self._sick = (
+                self._out,
+                sum(
+                    len(ep.calls)
+                    for each in self._destinations.values()
+                    if each.out
+                    for it in each.routes
+                    if it.troubled(now)
+                    for ep in it.endpoints
+                ),
+            )
         return dest.out < min(dest.window, dest.half) and self._sick[1] < max(1, int(dest.half * SICK_PART))
 
     def _ramped(self, now: float, dest: Destination, route: Route, ep: Place) -> bool:
@@ -462,7 +490,7 @@
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
         cold = [each.ill or each.back_at is not None for each in route.endpoints if each.state == READY]
         rate = max(dest.usual(now), route.limit / self._set.senders) * RAMP
-        if self._set.notes:         # all were told at one time: what waits goes over as long as it was away
+        if self._set.notes:  # all were told at one time: what waits goes over as long as it was away
             rate = max(rate, (len(dest.line) + dest.kept) * 1000.0 / max(route.away_ms, WARM_LEAST_MS)) * SURE
         wait_ms = route.ramp.wait_ms(now, rate * share * sum(cold) / len(cold), 1.0)
         self._wake(now, now + wait_ms if wait_ms > 0.0 else float("inf"))
@@ -479,10 +507,12 @@
                 doc.back_ms = opens - now
                 self._resume(now, doc, None)
 
-    def _opens(self, now: float, dest: Destination) -> float:       # to calls; inf: no place is ready there
+    def _opens(self, now: float, dest: Destination) -> float:  # to calls; inf: no place is ready there
         routes = [route for route in dest.routes if any(ep.state == READY for ep in route.endpoints)]
-        return min((max(route.wait_until, route.hold_until) for route in routes),
-                   default=float("inf") if self._sure and dest.routes else now)
+        return min(
+            (max(route.wait_until, route.hold_until) for route in routes),
+            default=float("inf") if self._sure and dest.routes else now,
+        )
 
     def room(self, destination: int, window: int, lines: int, kept: int) -> int:
         """How many more of a destination's documents are wanted of a host that keeps long lines on disk: a
@@ -490,7 +520,7 @@
         how many there are; kept: how many documents wait in this one."""
         if dest := self._destinations.get(destination):
             dest.kept = kept
-            if kept and not self._turned:       # there since before a restart: it was down
+            if kept and not self._turned:  # there since before a restart: it was down
                 self._failed[destination] = dest
         most, held = self._set.max_held // (2 if kept else 1), len(dest.line) + dest.out if dest else 0
         return min(max(1, min(window, most // max(1, lines))) - held, most - len(self._held))
@@ -505,9 +535,13 @@
         return min(self._set.retry_after_ms, wait_ms) if wait_ms > left_ms - CALL_MS else 0.0
 
     def _make_room(self, now: float) -> None:
-        while len(self._held) >= max(2, self._set.max_held) and (lines := [     # what a restart found is
-                (each.troubled(now), len(each.line), -number) for number, each in   # tried, in less room too
-                self._destinations.items() if any(map(Document.fresh, each.line))]):
+        while len(self._held) >= max(2, self._set.max_held) and (
+            lines := [  # what a restart found is
+                (each.troubled(now), len(each.line), -number)
+                for number, each in self._destinations.items()  # tried, in less room too
+                if any(map(Document.fresh, each.line))
+            ]
+        ):
             line = self._destinations[-max(lines)[2]].line
             self._finish(min((self._value(now, doc), doc.order, doc) for doc in line if doc.fresh())[2])
 
@@ -517,7 +551,7 @@
         kind, ep, route, usual = outcome.kind, call.ep, call.ep.route, dest.usual(now)
         if outcome.limit:
             route.limit, route.room, route.room_at = outcome.limit, outcome.room or 0.0, now
-            if dest.found and route.equal > 1e9:      # restarted together, with lines: no burst
+            if dest.found and route.equal > 1e9:  # restarted together, with lines: no burst
                 route.share = min(1.0, max(1.0 / self._set.senders, usual / outcome.limit) / 2.0)
             route.equal = outcome.limit / self._set.senders
         little = kind == FULL or outcome.limit and route.room < LITTLE_ROOM
@@ -525,7 +559,7 @@
             route.limit = max(route.served.rate(now), route.served.rate(now, 2), LEAST_PACE)
         own = max(1.0 / self._set.senders, usual / max(route.limit, LEAST_PACE))
         route.refused = 0 if kind == OK else route.refused + (kind == FULL)
-        rare = route.refused > 1 and usual * STREAK < 2.0   # nothing served, and few calls to tell
+        rare = route.refused > 1 and usual * STREAK < 2.0  # nothing served, and few calls to tell
         own = min(1.0, own * (FEARED_PART if rare else OWN_PART))
         if little:
             route.cut(now, own, 0.5 / self._set.senders)
@@ -537,12 +571,12 @@
             return
         dest.window = max(1.0, dest.window / 2.0)
         if kind in (our.RESET, our.TIMEOUT) and self._idle.marked(now, call.idle_ms):
-            return                                  # lost with the connection: tells nothing of the endpoint
-        if kind == CONNECT_FAILED:                  # a full table denies at once, a silent machine late
+            return  # lost with the connection: tells nothing of the endpoint
+        if kind == CONNECT_FAILED:  # a full table denies at once, a silent machine late
             if quick and not call.idle_ms:
                 self._tell(now, ep, CROWD)
                 self._crowded(now, ep)
-            if ep.calls and ep.ok_at >= call.sent_at:   # others were served: its connections are taken
+            if ep.calls and ep.ok_at >= call.sent_at:  # others were served: its connections are taken
                 return
         if kind == FULL:
             route.meter.credit = self._draw(-0.5, 0.5) if rare else 0.0  # the next call a full step later
@@ -562,14 +596,18 @@
             self._tell(now, ep, f"{WAIT}{int(outcome.wait_ms)}")
         if ep.ill:
             self._await_trial(now, dest, route, route.trial_ms * 2.0)
-        elif kind != FULL and (ep.streak >= enough or ep.failing > ILL_SHARE or route.row - route.refused >=
-                               STREAK + brief) or outcome.wait_ms > LONG_WAIT_MS or ep.streak >= max(
-                                   STREAK, 2 * enough) and now - ep.failed_at >= SHUT_MS:
-            self._falls_ill(now, dest, route, ep, kind)     # refusals: only if long, not of a limit's span
+        elif (
+            kind != FULL
+            and (ep.streak >= enough or ep.failing > ILL_SHARE or route.row - route.refused >= STREAK + brief)
+            or outcome.wait_ms > LONG_WAIT_MS
+            or ep.streak >= max(STREAK, 2 * enough)
+            and now - ep.failed_at >= SHUT_MS
+        ):
+            self._falls_ill(now, dest, route, ep, kind)  # refusals: only if long, not of a limit's span
 
     def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Place, why: str) -> None:
         route.ill_at = route.ill_at if any(each.ill for each in route.endpoints) else now
-        for each in route.endpoints:    # a shut destination is shut at all its endpoints
+        for each in route.endpoints:  # a shut destination is shut at all its endpoints
             if each is ep or route.row - route.refused >= STREAK or why == FULL and each.ok_at < ep.failed_at:
                 each.ill, each.back_at = True, None
         self._await_trial(now, dest, route, TRIAL_MS)
@@ -578,11 +616,11 @@
     def _await_trial(self, now: float, dest: Destination, route: Route, ms: float) -> None:
         route.trial_ms, usual = min(LONGEST_TRIAL_MS, ms), dest.usual(now)
         start, rare_ms, least = max(now, route.wait_until, route.hold_until), TRIAL_EVERY / usual, 0.3
-        if self._set.notes:     # what one finds all hear: those that hold something try in turn
+        if self._set.notes:  # what one finds all hear: those that hold something try in turn
             held = min(1.0, usual * (start - route.ill_at + NOTE_MS) / 1000.0) * self._set.senders
             rare_ms, least = held * 1000.0 / max(LEAST_TRIALS, TRIAL_PART * usual * self._set.senders), 0.0
-        pause_ms = rare_ms if rare_ms > LONGEST_TRIAL_MS else route.trial_ms    # no more often than they send
-        if start > now and not self._set.notes:     # all see its end at one time: the first calls of the ramp
+        pause_ms = rare_ms if rare_ms > LONGEST_TRIAL_MS else route.trial_ms  # no more often than they send
+        if start > now and not self._set.notes:  # all see its end at one time: the first calls of the ramp
             pause_ms, least = 500.0 / max(usual * self._set.cold_share, 1000.0 / self._set.warm_up_ms), 0.0
         route.trial_at = start + pause_ms * self._draw(least, 2.0 - least)
 
@@ -590,15 +628,19 @@
 
     def _tell(self, now: float, ep: Place, what: str) -> None:
         known = now < self._crowded_until.get(ep.kind, 0.0) if what == CROWD else ep.ill and what != BACK
-        if self._set.notes and now >= ep.note_at and not known \
-                and not self._notes.wait_ms(now, TOLD / self._set.senders, TOLD_AT_ONCE):
+        if (
+            self._set.notes
+            and now >= ep.note_at
+            and not known
+            and not self._notes.wait_ms(now, TOLD / self._set.senders, TOLD_AT_ONCE)
+        ):
             ep.note_at, self._notes.credit = now + NOTE_MS, self._notes.credit - 1.0
             self._host.tell(f"{mark(ep.name)}{what}")
 
     def heard(self, now: float, note: str) -> None:
         """A note from another sender; what cannot be read, or names what is not listed, is skipped."""
-        ep, what, ms = self._marks.get(note[:MARK]), note[MARK:MARK + 1], note[MARK + 1:]
-        if ep is None or now > self._alarm + STALL_MS:   # or it lay there while this sender stood still
+        ep, what, ms = self._marks.get(note[:MARK]), note[MARK : MARK + 1], note[MARK + 1 :]
+        if ep is None or now > self._alarm + STALL_MS:  # or it lay there while this sender stood still
             return
         route, dest = ep.route, ep.route.destination
         if what == SERVES:
@@ -606,7 +648,7 @@
         elif what == FAILED:
             self._rumoured(now, ep, "told")
         elif what == WAIT and ms.isdecimal() and not ep.ill:
-            shut = float(ms) > LONG_WAIT_MS         # else a limit, which all at once would meet again
+            shut = float(ms) > LONG_WAIT_MS  # else a limit, which all at once would meet again
             part = 1.0 if shut else self._draw(0.0, 1.0)
             route.hold_until = max(route.hold_until, now + min(float(ms), LONGEST_TOLD_MS) * part)
             if shut:
@@ -618,7 +660,7 @@
             self._stirred = True
             self._back(now, dest, route, ep)
 
-    def _crowded(self, now: float, ep: Place) -> None:      # full tables of its kind: none is kept idle there
+    def _crowded(self, now: float, ep: Place) -> None:  # full tables of its kind: none is kept idle there
         if now >= self._crowded_until.get(ep.kind, 0.0):
             self._stirred = True
             self._lying.update({each.name: each for each in self._endpoints.values() if each.kind == ep.kind})
@@ -638,8 +680,11 @@
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
         self._norm.add(ms)
-        back = call.sent_at >= route.ill_at if ep.ill else \
-            route.row >= BRIEF and call.sent_at >= route.failed_at < now - OUTAGE_MS    # few calls met it
+        back = (
+            call.sent_at >= route.ill_at
+            if ep.ill
+            else route.row >= BRIEF and call.sent_at >= route.failed_at < now - OUTAGE_MS
+        )  # few calls met it
         ep.streak, ep.ok_at, ep.failing, ep.doubtful = 0, now, ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
@@ -657,7 +702,7 @@
         route.away_ms, back_at = now - route.ill_at, state.last_back(route.endpoints)
         if back_at is None or back_at < max(route.ill_at, route.failed_at):
             route.ramp, back_at = Meter(now, self._draw(0.0, 1.0)), now
-        for each in route.endpoints:    # a sibling that failed and served nothing since is as cold
+        for each in route.endpoints:  # a sibling that failed and served nothing since is as cold
             if each is ep or (each.streak or route.row >= BRIEF) and not each.ill:
                 each.ill, each.back_at = False, back_at
                 each.word.clear()
@@ -666,7 +711,7 @@
     def _patience(self, ep: Place, doc: Document) -> float:
         seen = max(ep.usual_ms, ep.recent_ms)
         scarce = self._out >= self._set.slots * SCARCE and not self._set.notes  # these tell of the silent
-        patience = (HASTY if scarce else PATIENCE) * seen if seen else doc.kind.agreed_ms   # none seen yet
+        patience = (HASTY if scarce else PATIENCE) * seen if seen else doc.kind.agreed_ms  # none seen yet
         least = LEAST_PATIENCE_MS * (1.0 if self._set.notes else max(LEAST_PART, 1.0 - self._busy))
         patience = max(least, patience, ep.route.trial_ms / 2.0 if ep.ill else 0.0)
         return patience * (1.5 if scarce else 2.0) if doc.kind.effect == BINDING else patience
@@ -676,7 +721,7 @@
         span = max(kind.expiry_ms - kind.agreed_ms, 1.0)
         return doc.worth * kind.value * (1.0 - (1.0 - kind.late_share) * min(1.0, late / span))
 
-    def _last_call(self, doc: Document) -> float:   # that may still help, and comes inside its window
+    def _last_call(self, doc: Document) -> float:  # that may still help, and comes inside its window
         return min(doc.expiry, doc.known_until()) - CALL_MS
 
     def _join(self, now: float, entry: our.Endpoint) -> None:
@@ -706,7 +751,7 @@
 
     def _regroup(self, now: float, dest: Destination) -> None:
         eps = [ep for route in dest.routes for ep in route.endpoints]
-        dest.routes = [] if eps else dest.routes    # what was told outlasts the last endpoint
+        dest.routes = [] if eps else dest.routes  # what was told outlasts the last endpoint
         for ep in eps:
             was = ep.route
             self._seat(now, dest, ep, was.limit)
--- a/birchstack/emulator/clock.py
+++ b/birchstack/emulator/clock.py
@@ -124,7 +124,7 @@
 
     def stand(self, still: bool) -> None:
         self.still = still
-        if not still and self._ready:       # as asyncio does: what was read comes before the timers
+        if not still and self._ready:  # as asyncio does: what was read comes before the timers
             self._ready = deque(sorted(self._ready, key=lambda each: isinstance(each, asyncio.TimerHandle)))
             self._clock.rouse(self)
 
--- a/birchstack/emulator/judge.py
+++ b/birchstack/emulator/judge.py
@@ -359,7 +359,7 @@
     ) -> None:
         """An endpoint writes its answer; it is heard so much later."""
         doc = call.doc
-        call.broken = call.broken or call.over_at is not None   # it crosses the sender's letting go
+        call.broken = call.broken or call.over_at is not None  # it crosses the sender's letting go
         self._over(now, call)
         call.status, call.spoilt = status, spoilt
         self.note(
--- a/birchstack/emulator/virtual.py
+++ b/birchstack/emulator/virtual.py
@@ -236,8 +236,9 @@
     """One scenario with one seed, from its start to its result. store: makes what keeps long lines of
     documents on each sender's disk, if anything does."""
 
-    def __init__(self, scenario: Scenario, seed: int, keep_log: bool = False,
-                 store: Make | None = None) -> None:
+    def __init__(
+        self, scenario: Scenario, seed: int, keep_log: bool = False, store: Make | None = None
+    ) -> None:
         self.scenario, self.seed, self.store = scenario, seed, store
         self.clock = Clock()
         told = scenario.network
--- a/birchstack/emulator/world.py
+++ b/birchstack/emulator/world.py
@@ -119,8 +119,10 @@
         self._up_to = list(accumulate(group.weight for group in self._groups))
         self._kinds_up_to = list(accumulate(kind.share for kind in self.scenario.types))
         parts, uneven = random.Random(f"parts {self._seed}"), self.scenario.clients.uneven
-        self._senders_up_to = [] if not uneven else list(
-            accumulate(parts.lognormvariate(0.0, uneven) for _ in range(self.scenario.senders))
+        self._senders_up_to = (
+            []
+            if not uneven
+            else list(accumulate(parts.lognormvariate(0.0, uneven) for _ in range(self.scenario.senders)))
         )
         return [self.scenario.clients.per_second * group.weight / total for group in self._groups]
 
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -11,7 +11,7 @@
 OUTCOMES = (OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, UNSENT)
 GONE, READY, DRAINING = "gone", "ready", "draining"
 CHANGES, WHOLE, FAILED = "changes", "whole", "failed"
-KNOWN = "known"                         # a whole list that was had before a start, and may be old
+KNOWN = "known"  # a whole list that was had before a start, and may be old
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,10 +47,10 @@
     cold_share: float
     warm_up_ms: float
     key_rest_ms: float
-    notes: bool                     # whether senders may pass notes to one another
-    list_every_ms: float = 0.0      # an asked list: asked at least so often, or counted as told; 0: no bound
-    tenants: tuple[tuple[str, float], ...] = ()     # name and documents a second of all senders in its share
-    over_share: float = 1.0         # the value of a document beyond its tenant's share, of its type's
+    notes: bool  # whether senders may pass notes to one another
+    list_every_ms: float = 0.0  # an asked list: asked at least so often, or counted as told; 0: no bound
+    tenants: tuple[tuple[str, float], ...] = ()  # name and documents a second of all senders in its share
+    over_share: float = 1.0  # the value of a document beyond its tenant's share, of its type's
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,9 +69,9 @@
 class Past:
     """What became of a document before its sender started again; times are the clock's, perhaps below 0."""
 
-    sent: int = 0                                   # transmissions made
-    failed: int = 0                                 # of those, failed otherwise than by a refusal
-    doubt: tuple[tuple[float, str], ...] = ()       # time and zone of those that may have run
+    sent: int = 0  # transmissions made
+    failed: int = 0  # of those, failed otherwise than by a refusal
+    doubt: tuple[tuple[float, str], ...] = ()  # time and zone of those that may have run
 
 
 NO_PAST = Past()
@@ -88,7 +88,7 @@
     wait_ms: float = 0.0
     room: float | None = None
     limit: float | None = None
-    kept: bool = True               # whether the connection lies idle now, where the outcome leaves that open
+    kept: bool = True  # whether the connection lies idle now, where the outcome leaves that open
 
 
 class Host(Protocol):
@@ -106,7 +106,7 @@
 
     def subscribe(self) -> None: ...
 
-    def tell(self, note: str) -> None: ...      # to all other senders, where settings permit it
+    def tell(self, note: str) -> None: ...  # to all other senders, where settings permit it
 
     def log(self, text: str) -> None: ...
 
@@ -116,8 +116,17 @@
 
     def endpoints(self, now: float, mode: str, entries: list[Endpoint]) -> None: ...
 
-    def document(self, now: float, doc_id: str, destination: int, type_name: str, left_ms: float,
-                 key: str | None, past: Past = NO_PAST, tenant: str | None = None) -> None: ...
+    def document(
+        self,
+        now: float,
+        doc_id: str,
+        destination: int,
+        type_name: str,
+        left_ms: float,
+        key: str | None,
+        past: Past = NO_PAST,
+        tenant: str | None = None,
+    ) -> None: ...
 
     def outcome(self, now: float, doc_id: str, endpoint: str, outcome: Outcome) -> None: ...
 
--- a/birchstack/ledger/plan.py
+++ b/birchstack/ledger/plan.py
@@ -17,7 +17,7 @@
 from birchstack.ledger.records import HEAD
 
 BLOCK = 512
-MOSTLY_PAST = 0.5                       # a segment is copied once no more than this share of it is needed
+MOSTLY_PAST = 0.5  # a segment is copied once no more than this share of it is needed
 
 
 @dataclass(slots=True)
@@ -50,7 +50,7 @@
         self._limit, self._most = limit, most
         self.segments: dict[int, Segment] = {}
         self._appended = self._copied = 0
-        self.victim: int | None = None          # the segment that is being copied
+        self.victim: int | None = None  # the segment that is being copied
 
     @property
     def last(self) -> int:
@@ -135,5 +135,6 @@
 
     def amplification(self) -> Amplification:
         """Since the plan was made."""
-        return Amplification((self._appended + self._copied) / max(1, self._appended),
-                             self.used() / max(1, self.needed()))
+        return Amplification(
+            (self._appended + self._copied) / max(1, self._appended), self.used() / max(1, self.needed())
+        )
--- a/birchstack/ledger/records.py
+++ b/birchstack/ledger/records.py
@@ -27,7 +27,7 @@
 HEAD = struct.Struct("<4sHHQI")
 FRAME = struct.Struct("<2sII")
 MARK = b"\xb5\x1c"
-MOST = 16 << 20                         # a longer record is no record
+MOST = 16 << 20  # a longer record is no record
 
 
 class Take(msgspec.Struct, array_like=True, tag_field="kind", tag="t", frozen=True):
@@ -151,8 +151,9 @@
     past: list[str]
 
 
-Record = (Take | Call | Back | Past | Notice | Done | Kept | Page | Bits | Marks | Moved | Ended | State
-          | Whole)
+Record = (
+    Take | Call | Back | Past | Notice | Done | Kept | Page | Bits | Marks | Moved | Ended | State | Whole
+)
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Record).decode
 _sum = google_crc32c.value
@@ -173,10 +174,10 @@
     """The number of a segment, from its first HEAD.size bytes."""
     if len(data) < HEAD.size:
         raise HeadError(f"{len(data)} bytes are no head of a segment")
-    magic, version, _, number, told = HEAD.unpack(data[:HEAD.size])
+    magic, version, _, number, told = HEAD.unpack(data[: HEAD.size])
     if magic != MAGIC:
         raise HeadError(f"begins with {magic!r}, not {MAGIC!r}")
-    if _sum(data[:HEAD.size - 4]) != told:
+    if _sum(data[: HEAD.size - 4]) != told:
         raise HeadError("its head does not check")
     if version != VERSION:
         raise HeadError(f"version {version}; this program knows {VERSION}")
@@ -195,7 +196,7 @@
     if len(data) < FRAME.size:
         return None
     mark, length, told = FRAME.unpack_from(data)
-    payload = data[FRAME.size:FRAME.size + length]
+    payload = data[FRAME.size : FRAME.size + length]
     if mark != MARK or length > MOST or len(payload) < length:
         return None
     if _extend(_sum(length.to_bytes(4, "little")), payload) != told:
@@ -230,8 +231,8 @@
 
     def __init__(self, number: int, at: int = HEAD.size) -> None:
         self.number, self.damages, self.past = number, [], at
-        self._held, self._at = bytearray(), at              # _at: the offset of what is held
-        self._bad: int | None = None                        # where the present damage begins
+        self._held, self._at = bytearray(), at  # _at: the offset of what is held
+        self._bad: int | None = None  # where the present damage begins
 
     def feed(self, data: bytes) -> Iterator[tuple[int, Record]]:
         self._held += data
@@ -250,10 +251,10 @@
         position = 0
         while (found := self._one(position, last)) is not None:
             length, record = found
-            if record is None:                              # no record begins here
+            if record is None:  # no record begins here
                 self._bad = self._at + position if self._bad is None else self._bad
                 there = self._held.find(MARK, position + 1)
-                if there < 0:                               # the last byte may be half a mark
+                if there < 0:  # the last byte may be half a mark
                     half = self._held[-1:] == MARK[:1] and position + 1 < len(self._held)
                     position = len(self._held) - half
                     break
@@ -274,7 +275,7 @@
         if not left:
             return None
         if left < FRAME.size:
-            whole = self._held[position:position + 2] == MARK[:min(2, left)]
+            whole = self._held[position : position + 2] == MARK[: min(2, left)]
             return None if whole and not last else (0, None)
         mark, length, told = FRAME.unpack_from(self._held, position)
         if mark != MARK or length > MOST:
@@ -282,10 +283,10 @@
         if left < FRAME.size + length:
             return (0, None) if last else None
         start = position + FRAME.size
-        payload = bytes(self._held[start:start + length])
+        payload = bytes(self._held[start : start + length])
         if _extend(_sum(length.to_bytes(4, "little")), payload) != told:
             return 0, None
         try:
             return FRAME.size + length, _decode(payload)
-        except msgspec.DecodeError:                         # it checks, and says what nobody knows here
+        except msgspec.DecodeError:  # it checks, and says what nobody knows here
             return 0, None
