--- a/birchstack/net/by_hand.py
+++ b/birchstack/net/by_hand.py
@@ -15,8 +15,8 @@
 from birchstack.net.machine import Folder
 from birchstack.net.operators import Answer
 
-FILE = "out-by-hand"                    # written whole
-MOST = 4096                             # endpoints out at once, and returns remembered
+FILE = "out-by-hand"  # written whole
+MOST = 4096  # endpoints out at once, and returns remembered
 log = logging.getLogger(__name__)
 
 
@@ -34,11 +34,13 @@
         self.out, self.back = {}, {}
         try:
             told = json.loads(self._folder.read(FILE))
-            self.out, self.back = ({str(name): None for name in told["out"][-MOST:]},
-                                   {str(name): float(when) for name, when in [*told["back"].items()][-MOST:]})
+            self.out, self.back = (
+                {str(name): None for name in told["out"][-MOST:]},
+                {str(name): float(when) for name, when in [*told["back"].items()][-MOST:]},
+            )
         except FileNotFoundError:
             pass
-        except (OSError, ValueError, TypeError, KeyError, AttributeError) as problem:   # only a broken disk
+        except (OSError, ValueError, TypeError, KeyError, AttributeError) as problem:  # only a broken disk
             say(log, "endpoints out by hand not read", logging.ERROR, problem=problem)
 
     def as_told(self, entry: our.Endpoint) -> our.Endpoint:
@@ -55,8 +57,9 @@
             return Answer(True, f"{endpoint} {'out' if out else 'in'} already")
         if out and len(self.out) >= MOST:
             return Answer(False, f"{MOST} endpoints are out by hand already", 409)
-        wanted = {**self.out, endpoint: None} if out else {
-            name: None for name in self.out if name != endpoint}
+        wanted = (
+            {**self.out, endpoint: None} if out else {name: None for name in self.out if name != endpoint}
+        )
         back = {name: when for name, when in self.back.items() if name != endpoint}
         if not out:
             back[endpoint] = self._clock()
--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -18,11 +18,11 @@
 from birchstack.net.log import holds, say
 
 PATH = "/hook"
-KEPT = (our.OK, our.ERROR, our.FULL)    # after these a connection may lie idle for the next call
+KEPT = (our.OK, our.ERROR, our.FULL)  # after these a connection may lie idle for the next call
 DECIMAL = r"[0-9]{1,9}(?:\.[0-9]{0,18})?"
 REPORT = re.compile(rf"(?:TEXT )?x0=({DECIMAL}), ?x1=({DECIMAL})")
-REST_MS = 500.0                         # an answer that has begun is whole after so long, or it is spoilt
-EARLIER = 0.9                           # an idle connection is closed at this part of the endpoint's own time
+REST_MS = 500.0  # an answer that has begun is whole after so long, or it is spoilt
+EARLIER = 0.9  # an idle connection is closed at this part of the endpoint's own time
 log = logging.getLogger(__name__)
 
 
@@ -53,9 +53,9 @@
     number: int
     endpoint: str
     body: bytes
-    patience_ms: float                  # from when it is written
-    repeat_key: str | None = None       # passed on with every transmission, where its client sent one
-    started: float = 0.0                # when it was decided
+    patience_ms: float  # from when it is written
+    repeat_key: str | None = None  # passed on with every transmission, where its client sent one
+    started: float = 0.0  # when it was decided
     written: float = 0.0
     destination: int = -1
 
@@ -70,9 +70,9 @@
         self._call: Call | None = None
         self._answer: http1.Response | None = None
         self._reader = http1.Responses()
-        self._late = False              # its time is over, and what has come is read
-        self._new = True                # no call has begun on it while it lay idle
-        self._sent = self._begun = False        # all was handed to the network; a first line has come
+        self._late = False  # its time is over, and what has come is read
+        self._new = True  # no call has begun on it while it lay idle
+        self._sent = self._begun = False  # all was handed to the network; a first line has come
         self._timer: asyncio.TimerHandle | None = None  # of the dial, the answer or the rest: one at a time
 
     def begin(self, call: Call) -> None:
@@ -112,13 +112,16 @@
         call = self._call
         self._rest()
         self._timer = self._calls.later(call.patience_ms, self._timed_out)
-        fields = {"Request-Id": call.doc, "Request-Timeout-Ms": max(1, int(call.patience_ms)),
-                  **({"Idempotency-Key": call.repeat_key} if call.repeat_key else {})}
+        fields = {
+            "Request-Id": call.doc,
+            "Request-Timeout-Ms": max(1, int(call.patience_ms)),
+            **({"Idempotency-Key": call.repeat_key} if call.repeat_key else {}),
+        }
         host = f"{self.where[0]}:{self.where[1]}"
         self._sent = self._link.write(http1.request("POST", PATH, host, fields, call.body))
         if self._sent:
             self._calls.transmitted += 1
-        else:                           # reset in this moment, and nothing of it left
+        else:  # reset in this moment, and nothing of it left
             self._not_connected()
 
     # What the link tells
@@ -129,17 +132,17 @@
             self._calls.up(self._call)
 
     def received(self, data: memoryview) -> None:
-        if self._call is None:          # nobody asked
+        if self._call is None:  # nobody asked
             self._calls.drop(self)
             return
-        if not self._sent:              # nor is this the answer to a call that was not written
+        if not self._sent:  # nor is this the answer to a call that was not written
             self._not_connected()
             return
         try:
             for event in self._reader.feed(data):
                 if isinstance(event, http1.Response):
                     self._answer = event
-                elif event is http1.END:        # what comes behind it belongs to nobody
+                elif event is http1.END:  # what comes behind it belongs to nobody
                     keep = self._answer.keep and not self._link.unsent and self._reader.between
                     self._ends(keep, whole=True)
                     return
@@ -154,7 +157,7 @@
             if self._reader.told == 200:
                 self._calls.delivered(self._call)
         if self._reader.told == 200 and self._reader.ended():
-            self._ends(keep=False)      # its body means nothing: no need to wait for its end
+            self._ends(keep=False)  # its body means nothing: no need to wait for its end
 
     def lost(self) -> None:
         if self._call is None:
@@ -172,7 +175,7 @@
         self._ends(keep=False, stays=not self._new or not self.stale())
 
     def _timed_out(self) -> None:
-        if self._link.unread() and not self._late:      # an answer that came in this pass: read first, once
+        if self._link.unread() and not self._late:  # an answer that came in this pass: read first, once
             self._late = True
             self._timer = self._calls.later(0.0, self._timed_out)
             return
@@ -185,8 +188,14 @@
         self._calls.count_spoilt(self.endpoint, problem)
         self._ends(keep=False, spoilt=True)
 
-    def _ends(self, keep: bool, whole: bool = False, patience_over: bool = False,
-              spoilt: bool = False, stays: bool = False) -> None:
+    def _ends(
+        self,
+        keep: bool,
+        whole: bool = False,
+        patience_over: bool = False,
+        spoilt: bool = False,
+        stays: bool = False,
+    ) -> None:
         call, answer = self._call, self._answer
         if not holds(call, "a call ends once"):
             return
@@ -195,11 +204,11 @@
         over, wait_ms, room, limit = False, 0.0, None, None
         if answer:
             room, limit = report_of(answer)
-        if self._reader.told == 200:    # its first line is enough, whatever follows
+        if self._reader.told == 200:  # its first line is enough, whatever follows
             kind, over = our.OK, True
             if not self._begun:
                 self._calls.delivered(call)
-        elif answer and whole:          # of any other, a part proves nothing
+        elif answer and whole:  # of any other, a part proves nothing
             kind, over, wait_ms = kind_of(answer)
         elif stays:
             kind = our.UNSENT
@@ -209,22 +218,30 @@
             kind = our.ERROR
         else:
             kind = our.TIMEOUT if patience_over else our.RESET
-        self._calls.ended(self, call, keep and kind in KEPT,
-                          (kind, over, wait_ms, room, limit))
+        self._calls.ended(self, call, keep and kind in KEPT, (kind, over, wait_ms, room, limit))
 
 
 class Calls:
     """All connections to endpoints. up(call) hears of a dialled connection that has come up: its call waits
     for go(). told(call, outcome) hears of each call's end, once."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float], idle_ms: float,
-                 dial_ms: float, most_idle: int, up: Callable, delivered: Callable, told: Callable) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Callable[[], float],
+        idle_ms: float,
+        dial_ms: float,
+        most_idle: int,
+        up: Callable,
+        delivered: Callable,
+        told: Callable,
+    ) -> None:
         self.loop, self._clock, self.idle_ms, self.dial_ms = loop, clock, idle_ms, dial_ms
         self._most_idle, self.up, self.delivered, self._told = most_idle, up, delivered, told
         self.addresses: dict[str, tuple[str, int]] = {}
-        self._spoilt = self.transmitted = 0     # transmitted: written whole to endpoints, for the figures
-        self._idle: dict[Line, None] = {}               # oldest first
-        self._busy: dict[str, Line] = {}                # by document
+        self._spoilt = self.transmitted = 0  # transmitted: written whole to endpoints, for the figures
+        self._idle: dict[Line, None] = {}  # oldest first
+        self._busy: dict[str, Line] = {}  # by document
 
     def later(self, ms: float, what: Callable, *words: object) -> asyncio.TimerHandle:
         return self.loop.call_later(ms / 1000.0, what, *words)
@@ -267,8 +284,12 @@
         reset under a call that would then be in doubt, bytes that would pass for its answer. May hurt: what
         comes after this look is met all the same."""
         line = self._busy.get(call.doc)
-        return (line is not None and line.waits(call) and line.where == self.addresses.get(call.endpoint)
-                and not line.stale())
+        return (
+            line is not None
+            and line.waits(call)
+            and line.where == self.addresses.get(call.endpoint)
+            and not line.stale()
+        )
 
     def go(self, call: Call, may: bool) -> None:
         """Writes a call that has its connection, or ends it as one that never left."""
@@ -294,7 +315,7 @@
             if len(self._idle) > self._most_idle:
                 self.drop(next(iter(self._idle)))
         else:
-            line.close()                # before the outcome is told: no two of one document are ever out
+            line.close()  # before the outcome is told: no two of one document are ever out
         kind, *rest = how
         elapsed_ms = self.since(call.started)
         self._told(call, our.Outcome(kind, call.number, elapsed_ms, *rest, kept))
--- a/birchstack/net/config.py
+++ b/birchstack/net/config.py
@@ -16,18 +16,34 @@
 from birchstack.interface import Settings
 from birchstack.net.driver import address
 
-DEFAULTS = {"limits.sockets": 1024, "limits.disk_mb": 3, "settings.limits.connIdleMs": 10000.0,
-            "settings.limits.dialTimeoutMs": 1000.0}
-NUMBERS = ("nInstances", "domain.callsOut", "limits.maxOpen", "limits.sendCap", "rules.coldFrom",
-           "rules.warmUpMs")            # without these nothing can be decided
-
-TOLD = ("name", "listen", "discovery", "state", "ops")    # keys that the environment may say instead
+DEFAULTS = {
+    "limits.sockets": 1024,
+    "limits.disk_mb": 3,
+    "settings.limits.connIdleMs": 10000.0,
+    "settings.limits.dialTimeoutMs": 1000.0,
+}
+NUMBERS = (
+    "nInstances",
+    "domain.callsOut",
+    "limits.maxOpen",
+    "limits.sendCap",
+    "rules.coldFrom",
+    "rules.warmUpMs",
+)  # without these nothing can be decided
+
+TOLD = ("name", "listen", "discovery", "state", "ops")  # keys that the environment may say instead
 RELOADED = ("discovery", "known", "seed", "settings", "idle_ms", "dial_ms", "kinds", "version")  # at SIGHUP
-NOT_CARRIED = {"limits.mayTell": "notes between senders", "limits.probes": "probes",
-               "limits.mayDuplicate": "second copies"}     # switches that sockets have no way for
+NOT_CARRIED = {
+    "limits.mayTell": "notes between senders",
+    "limits.probes": "probes",
+    "limits.mayDuplicate": "second copies",
+}  # switches that sockets have no way for
 ONE_ONLY = {"limits.streamsPerConn": "calls on one connection", "domain.perCall": "documents in one call"}
-WORDS = {"registryMode": ("pushed", "on_request"), "weightSource": ("off", "nominal", "rough"),
-         "domain.losesWorth": ("linear",)}
+WORDS = {
+    "registryMode": ("pushed", "on_request"),
+    "weightSource": ("off", "nominal", "rough"),
+    "domain.losesWorth": ("linear",),
+}
 
 
 class ConfigError(Exception):
@@ -41,15 +57,15 @@
     discovery: tuple[str, int]
     state: str
     seed: int
-    sockets: int                # file descriptors that the process may hold
+    sockets: int  # file descriptors that the process may hold
     disk_bytes: int
-    idle_ms: float              # an endpoint closes a connection that lies idle for so long
-    dial_ms: float              # a connection not ready by then has failed
+    idle_ms: float  # an endpoint closes a connection that lies idle for so long
+    dial_ms: float  # a connection not ready by then has failed
     kinds: tuple[str, ...]
-    known: dict                 # the list as last had, in discovery's form
+    known: dict  # the list as last had, in discovery's form
     settings: Settings
-    ops: tuple[str, int] | None = None      # where operators call; none where neither file nor variable says
-    version: int | None = None              # of the file, where whoever writes it numbers it
+    ops: tuple[str, int] | None = None  # where operators call; none where neither file nor variable says
+    version: int | None = None  # of the file, where whoever writes it numbers it
 
 
 def _at(raw: object, path: str, kind: type | tuple[type, ...]) -> object:
@@ -83,8 +99,9 @@
 
 def _version(raw: dict) -> int | None:
     version = raw.get("version")
-    if version is not None and (isinstance(version, bool) or not isinstance(version, int)
-                                or not 0 <= version < 1 << 63):
+    if version is not None and (
+        isinstance(version, bool) or not isinstance(version, int) or not 0 <= version < 1 << 63
+    ):
         raise ConfigError(f"version: {version!r} is not a whole number from 0 up")
     return version
 
@@ -134,8 +151,11 @@
     """The configuration; the environment names what the file leaves out."""
     if not isinstance(raw, dict):
         raise ConfigError("the configuration is not an object")
-    told = {key: environment[f"BALANCER_{key.upper()}"] for key in TOLD
-            if environment.get(f"BALANCER_{key.upper()}")}
+    told = {
+        key: environment[f"BALANCER_{key.upper()}"]
+        for key in TOLD
+        if environment.get(f"BALANCER_{key.upper()}")
+    }
     raw = {**raw, **told}
     words, number = _at(raw, "settings", dict), (int, float)
     for key in NUMBERS:
@@ -158,13 +178,21 @@
     if not isinstance(known, dict):
         raise ConfigError("known: not an object")
     return Config(
-        name=_at(raw, "name", str), listen=_address(raw, "listen"), discovery=_address(raw, "discovery"),
-        state=state, seed=_seed(str(raw.get("seed") or "0")), sockets=int(_at(raw, "limits.sockets", number)),
+        name=_at(raw, "name", str),
+        listen=_address(raw, "listen"),
+        discovery=_address(raw, "discovery"),
+        state=state,
+        seed=_seed(str(raw.get("seed") or "0")),
+        sockets=int(_at(raw, "limits.sockets", number)),
         disk_bytes=int(_at(raw, "limits.disk_mb", number) * 1_000_000),
         idle_ms=float(_at(raw, "settings.limits.connIdleMs", number)),
         dial_ms=float(_at(raw, "settings.limits.dialTimeoutMs", number)),
-        kinds=tuple(words.get("hostTypes") or ()), known=known, settings=decided,
-        ops=_address(raw, "ops") if raw.get("ops") is not None else None, version=_version(raw))
+        kinds=tuple(words.get("hostTypes") or ()),
+        known=known,
+        settings=decided,
+        ops=_address(raw, "ops") if raw.get("ops") is not None else None,
+        version=_version(raw),
+    )
 
 
 def load(environment: Mapping[str, str] = os.environ, again: bool = False) -> Config:
@@ -195,14 +223,22 @@
             raise ConfigError(f"{at} changes its effect")
     both = min(len(fresh.kinds), len(old.kinds))
     if fresh.kinds[:both] != old.kinds[:both] or listed >= max(1, both):
-        raise ConfigError("settings.hostTypes: while it runs, kinds come and go only at the end, and "
-                          "none that is listed may go")
+        raise ConfigError(
+            "settings.hostTypes: while it runs, kinds come and go only at the end, and "
+            "none that is listed may go"
+        )
 
 
 def take_over(fresh: Config, old: Config) -> tuple[Config, list[str], list[str]]:
     """At SIGHUP: the configuration from now on, the settings that change, and what waits for a restart."""
-    changed = [each.name for each in dataclasses.fields(Settings)
-               if getattr(fresh.settings, each.name) != getattr(old.settings, each.name)]
-    waits = [each.name for each in dataclasses.fields(Config) if each.name not in RELOADED
-             and getattr(fresh, each.name) != getattr(old, each.name)]
+    changed = [
+        each.name
+        for each in dataclasses.fields(Settings)
+        if getattr(fresh.settings, each.name) != getattr(old.settings, each.name)
+    ]
+    waits = [
+        each.name
+        for each in dataclasses.fields(Config)
+        if each.name not in RELOADED and getattr(fresh, each.name) != getattr(old, each.name)
+    ]
     return dataclasses.replace(old, **{name: getattr(fresh, name) for name in RELOADED}), changed, waits
--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -17,9 +17,9 @@
 from birchstack.net.driver import Dial, Link, address
 from birchstack.net.log import say
 
-BEAT_S, BEATS = 2.0, 2.5                # a line comes so often; after so many without one it is silent
-ANSWER_S, AGAIN_S = 2.0, 0.5            # an answer begins at once; a watch that ended is asked for again
-FIRST_S = 0.5                           # the first list of a start comes at once, or the one known counts
+BEAT_S, BEATS = 2.0, 2.5  # a line comes so often; after so many without one it is silent
+ANSWER_S, AGAIN_S = 2.0, 0.5  # an answer begins at once; a watch that ended is asked for again
+FIRST_S = 0.5  # the first list of a start comes at once, or the one known counts
 # What discovery has counts as told TOLD_S after it could be reached, whatever failed before. The next ask
 # that it can answer begins ASKED_S after that moment at the latest: one that waits for its dial or its head
 # is given up ANSWER_S after it began; one that says nothing whole BEAT_S * BEATS after it began, or last
@@ -29,17 +29,27 @@
 TOLD_S, ASKED_S = 6.0, max(ANSWER_S, BEAT_S * BEATS) + AGAIN_S
 MOST_LIST = 4 << 20
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
-MOST_REV = (1 << 63) - 1                # what every keeper of versions can hold
+MOST_REV = (1 << 63) - 1  # what every keeper of versions can hold
 STATES = {"active": our.READY, "leaving": our.DRAINING, "left": our.GONE}
 log = logging.getLogger(__name__)
 
 
 def entries(lines: list[dict], kinds: tuple[str, ...]) -> list[tuple[our.Endpoint, tuple[str, int]]]:
     """Reads a list's lines: each endpoint and its address."""
-    return [(our.Endpoint(line["uid"], int(line["pod_group"]), line.get("az") or "",
-                          kinds.index(line["model"]) if line.get("model") in kinds else 0,
-                          STATES[line["state"]], float(line.get("capacity_hint") or 0.0)),
-             address(line["endpoint"])) for line in lines]
+    return [
+        (
+            our.Endpoint(
+                line["uid"],
+                int(line["pod_group"]),
+                line.get("az") or "",
+                kinds.index(line["model"]) if line.get("model") in kinds else 0,
+                STATES[line["state"]],
+                float(line.get("capacity_hint") or 0.0),
+            ),
+            address(line["endpoint"]),
+        )
+        for line in lines
+    ]
 
 
 class Watch:
@@ -50,19 +60,25 @@
     Bytes alone do not, nor does the head: an answer that begins late and never ends would keep a broken watch
     open for longer than a change may take."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], kinds: tuple[str, ...],
-                 listed: Callable, told: Callable[[dict, str], bool] = lambda told, source: True) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        where: tuple[str, int],
+        kinds: tuple[str, ...],
+        listed: Callable,
+        told: Callable[[dict, str], bool] = lambda told, source: True,
+    ) -> None:
         self._loop, self._where, self._kinds, self._listed, self._told = loop, where, kinds, listed, told
         self._version, self._heard_at, self._asked_at = 0, loop.time(), 0.0
-        self._known: tuple[dict, list, int] | None = None   # a start's list, until a watch says more
+        self._known: tuple[dict, list, int] | None = None  # a start's list, until a watch says more
         self._link: Link | None = None
         self._dial: Dial | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._held, self._lines = bytearray(), []       # half a line; the lines of half an object,
-        self._depth = self._size = 0    # its open brackets, and its size
+        self._held, self._lines = bytearray(), []  # half a line; the lines of half an object,
+        self._depth = self._size = 0  # its open brackets, and its size
         self._reader = http1.Responses(max_body=None)
         self._stopped = False
-        self._first = loop.create_future()      # done with the first list of a watch
+        self._first = loop.create_future()  # done with the first list of a watch
 
     def start(self, known: dict) -> None:
         """known, had before, may be old: it names endpoints that went while no process ran. It waits for what
@@ -141,7 +157,7 @@
                         raise http1.Malformed(f"status {event.status}")
                     self._heard(self._asked_at)
                 elif event is http1.END:
-                    ended = True                # what came whole before it counts
+                    ended = True  # what came whole before it counts
                     break
                 else:
                     self._held += event
@@ -194,7 +210,7 @@
         told, listed, rev = read
         if told.get("all"):
             self._known = None
-        self._from_known()                      # what changed since the list that was known, on top of it
+        self._from_known()  # what changed since the list that was known, on top of it
         if self._told(told, "{}:{}".format(*self._where)):
             self._version = rev
             self._listed(our.WHOLE if told.get("all") else our.CHANGES, listed)
--- a/birchstack/net/driver.py
+++ b/birchstack/net/driver.py
@@ -15,10 +15,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
-BUFFER = memoryview(bytearray(65536))   # each read is handed on before the next one
-DRAINED = 262144                        # more than so much is not read of what nobody wants
-LINGER_S = 1.0                          # a reset would take an answer back that the peer has not read yet
-PEER_CLOSED = (7, 8, 9, 10, 11)         # TCP states: close, close-wait, last-ack, listen, closing
+BUFFER = memoryview(bytearray(65536))  # each read is handed on before the next one
+DRAINED = 262144  # more than so much is not read of what nobody wants
+LINGER_S = 1.0  # a reset would take an answer back that the peer has not read yet
+PEER_CLOSED = (7, 8, 9, 10, 11)  # TCP states: close, close-wait, last-ack, listen, closing
 
 
 class Owner(Protocol):
@@ -52,7 +52,7 @@
             return 0.0, False
 
 
-NO_KERNEL = Kernel(None)                # of a link that is not connected yet
+NO_KERNEL = Kernel(None)  # of a link that is not connected yet
 
 
 class Link(asyncio.BufferedProtocol):
@@ -62,7 +62,7 @@
         self._owner = owner
         self._transport: asyncio.Transport | None = None
         self._kernel = NO_KERNEL
-        self.unsent, self.closed = False, False     # bytes wait here for the kernel to take them
+        self.unsent, self.closed = False, False  # bytes wait here for the kernel to take them
         self._over: Callable[[], None] | None = None
         self._dropped = 0
 
@@ -70,9 +70,9 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         with contextlib.suppress(OSError, AttributeError):  # small writes held back would go with a close;
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)      # asyncio sees to those it dials
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # asyncio sees to those it dials
         self._kernel = transport.get_extra_info("kernel") or Kernel(sock)
-        if self.closed:                 # given up while it was dialled
+        if self.closed:  # given up while it was dialled
             transport.abort()
             return
         transport.set_write_buffer_limits(high=0)
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -18,18 +18,18 @@
 from birchstack.net.machine import Listener, Machine
 from birchstack.net.room import coming
 
-TAKEN, REJECTED, CLOSED, ABANDONED = "taken", "rejected", "closed", "abandoned"     # closed: to all, for now
+TAKEN, REJECTED, CLOSED, ABANDONED = "taken", "rejected", "closed", "abandoned"  # closed: to all, for now
 STATUS = {TAKEN: 202, REJECTED: 429, CLOSED: 503, ABANDONED: 500}
-CLIENT_MS = 400.0                       # a client waits so long for its answer
+CLIENT_MS = 400.0  # a client waits so long for its answer
 READY_PATHS = ("/up", "/alive")
-WHOLE_S, IDLE_S = 2.0, 3.0              # a request is whole so long after its connection or its first byte;
-SWEEP_S = 0.25                          # a connection without one is closed after so long
-QUIET = 3                               # passes of the loop in which nobody came, before the door is shut
-MOST_ASKED = 8                          # so many requests may wait for their answer on one connection
-LATE_MS = 1000.0                        # a document's time may be so much above what its type has
+WHOLE_S, IDLE_S = 2.0, 3.0  # a request is whole so long after its connection or its first byte;
+SWEEP_S = 0.25  # a connection without one is closed after so long
+QUIET = 3  # passes of the loop in which nobody came, before the door is shut
+MOST_ASKED = 8  # so many requests may wait for their answer on one connection
+LATE_MS = 1000.0  # a document's time may be so much above what its type has
 ID = re.compile("[0-9A-Za-z._~:+/=@-]{1,128}")
 NUMBER = re.compile("[0-9]{1,9}")
-TEXT = re.compile("[ -~]{1,128}")       # a key, a repeat's key or a tenant's name
+TEXT = re.compile("[ -~]{1,128}")  # a key, a repeat's key or a tenant's name
 log = logging.getLogger(__name__)
 
 
@@ -51,13 +51,26 @@
 class Handed:
     """One document as a client handed it in, checked before its body comes, and the way back to it."""
 
-    __slots__ = ("id", "type", "destination", "key", "repeat_key", "tenant", "left_ms", "body", "keep",
-                 "_client", "answer", "again", "_began")
+    __slots__ = (
+        "id",
+        "type",
+        "destination",
+        "key",
+        "repeat_key",
+        "tenant",
+        "left_ms",
+        "body",
+        "keep",
+        "_client",
+        "answer",
+        "again",
+        "_began",
+    )
 
     def __init__(self, client: Client, head: http1.Request, front: Front) -> None:
         fields = head.fields
         self._client, self.body, self.answer, self.keep = client, b"", None, head.keep
-        self.again: list[Handed] = []   # the same document, over another connection
+        self.again: list[Handed] = []  # the same document, over another connection
         self._began = client.began
         self.type = head.path[1:].partition("/")[0]
         if self.type not in front.types:
@@ -113,9 +126,9 @@
         self.link: Link | None = None
         self._head: http1.Request | Handed | None = None
         self._body: list[bytes] = []
-        self._owed: deque[Handed | Said] = deque()      # answers, in the order of the requests
+        self._owed: deque[Handed | Said] = deque()  # answers, in the order of the requests
         self.gone, self._last, self.asked = False, False, False
-        self.due = self.began = 0.0     # by when it must have asked, or ask again; the request's first byte
+        self.due = self.began = 0.0  # by when it must have asked, or ask again; the request's first byte
 
     @property
     def idle(self) -> bool:
@@ -215,7 +228,7 @@
         if self._owed or self.link.unread():
             return
         if self._head is None and self._reader.between:
-            self.flush(close=True)      # not reset: that would look the same as a request cut off
+            self.flush(close=True)  # not reset: that would look the same as a request cut off
         else:
             self._say(408, "not whole in time", close=True)
 
@@ -229,19 +242,26 @@
 class Front:
     """All clients. handed(document) hears of each document, once its last byte was read."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, types: dict[str, float], most: int,
-                 serves: Callable[[int], bool], handed: Callable[[Handed], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        types: dict[str, float],
+        most: int,
+        serves: Callable[[int], bool],
+        handed: Callable[[Handed], None],
+    ) -> None:
         self._loop, self.types, self._most, self.serves, self.handed = loop, types, most, serves, handed
-        self._clients: dict[Client, None] = {}          # least recently heard of first
-        self._leaving: dict[Link, None] = {}            # told their last, not closed yet
+        self._clients: dict[Client, None] = {}  # least recently heard of first
+        self._leaving: dict[Link, None] = {}  # told their last, not closed yet
         self._server: Listener | None = None
         self._machine: Machine | None = None
         self.time, self.closing, self.drained, self.counts = loop.time, False, False, {}
 
     async def open(self, machine: Machine, where: tuple[str, int]) -> None:
         self._machine = machine
-        self._server = await machine.listen(self._loop, where, lambda: Link(Client(self)), True,
-                                            coming(self._most), self._short)
+        self._server = await machine.listen(
+            self._loop, where, lambda: Link(Client(self)), True, coming(self._most), self._short
+        )
         self._loop.call_later(SWEEP_S, self._sweep)
 
     def __len__(self) -> int:
@@ -282,7 +302,7 @@
     def _short(self) -> None:
         """No descriptor is left to let anybody in: the longest silent give theirs."""
         self.count("no descriptor for a client")
-        for client in [each for each in self._clients if each.idle][:coming(self._most)]:
+        for client in [each for each in self._clients if each.idle][: coming(self._most)]:
             client.drop()
 
     def left(self, client: Client) -> None:
@@ -301,7 +321,7 @@
         now = self.time()
         for client in [each for each in self._clients if each.due <= now]:
             client.overdue()
-        self._let_go()                  # one that asked while the door said no
+        self._let_go()  # one that asked while the door said no
         self._loop.call_later(SWEEP_S, self._sweep)
 
     @property
--- a/birchstack/net/http1.py
+++ b/birchstack/net/http1.py
@@ -11,13 +11,24 @@
 from dataclasses import dataclass
 
 MAX_HEAD, MAX_BODY, MAX_LINE = 16384, 65536, 256
-MAX_INFORMED = 32                       # so many 1xx answers may come before the one that counts
+MAX_INFORMED = 32  # so many 1xx answers may come before the one that counts
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-END = None                              # the event that closes a message
-REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-           405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
-           429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-           501: "Not Implemented", 503: "Service Unavailable"}
+END = None  # the event that closes a message
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    503: "Service Unavailable",
+}
 TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]"
 FIELD = re.compile(rf"({TOKEN}+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)")
 REQUEST_LINE = re.compile(rf"({TOKEN}{{1,16}}) ([!-~\x80-\xff]+) (HTTP/1\.[01])")
@@ -41,7 +52,7 @@
     path: str
     fields: dict[str, str]
     keep: bool
-    query: str = ""                     # what follows the path's "?", as it came
+    query: str = ""  # what follows the path's "?", as it came
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +115,7 @@
                 raise Malformed("line too long", 431)
             return None
         line = self._held[:at].decode("latin-1")
-        del self._held[:at + 2]
+        del self._held[: at + 2]
         return line
 
     def _first(self, events: list) -> bool:
@@ -120,7 +131,7 @@
                 raise Malformed("bare line feed")
             return False
         first, *lines = self._held[:at].decode("latin-1").split("\r\n")
-        del self._held[:at + 4]
+        del self._held[: at + 4]
         self._state = self._first
         self._begin(first, _fields(lines), events)
         return True
@@ -155,8 +166,8 @@
 
     def _take(self, events: list) -> None:
         if self._left and self._held:
-            events.append(bytes(self._held[:self._left]))
-            del self._held[:self._left]
+            events.append(bytes(self._held[: self._left]))
+            del self._held[: self._left]
             self._left -= len(events[-1])
 
     def _whole(self, events: list) -> bool:
@@ -212,7 +223,7 @@
     _blank = False
 
     def _first(self, events: list) -> bool:
-        if self._held[:2] == b"\r\n" and not self._blank:     # one empty line before a first line may pass
+        if self._held[:2] == b"\r\n" and not self._blank:  # one empty line before a first line may pass
             del self._held[:2]
             self._blank = True
         if not self._held or self._held == b"\r":
@@ -238,10 +249,10 @@
 class Responses(Reader):
     """What a client reads."""
 
-    told, _informed = 0, 0              # the status of the last first line that came whole; 1xx so far
+    told, _informed = 0, 0  # the status of the last first line that came whole; 1xx so far
 
     def _first(self, events: list) -> bool:
-        if self._held[:7] != b"HTTP/1."[:len(self._held)]:
+        if self._held[:7] != b"HTTP/1."[: len(self._held)]:
             raise Malformed("status line")
         at = self._held.find(b"\n", 0, MAX_HEAD)
         if at < 0:
@@ -262,13 +273,16 @@
         if not line:
             raise Malformed("status line")
         status, keep = int(line[2]), self._keeps(line[1], fields)
-        if status < 200:                # an answer to come is announced
+        if status < 200:  # an answer to come is announced
             self._informed += 1
             if self._informed > MAX_INFORMED or status == 101:
                 raise Malformed("only announcements")
             return
-        until_end = fields.get("transfer-encoding") is None and fields.get("content-length") is None \
+        until_end = (
+            fields.get("transfer-encoding") is None
+            and fields.get("content-length") is None
             and status not in (204, 304)
+        )
         events.append(Response(status, fields, keep and not until_end))
         self._body({} if status in (204, 304) else fields, until_end, events)
 
@@ -280,11 +294,15 @@
 
 def response(status: int, fields: dict[str, object] | None = None, close: bool = False) -> bytes:
     ends = {"Connection": "close"} if close else {}
-    return _message(f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}",
-                    {**(fields or {}), "Content-Length": 0, **ends}, b"")
+    return _message(
+        f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}",
+        {**(fields or {}), "Content-Length": 0, **ends},
+        b"",
+    )
 
 
-def request(method: str, path: str, host: str, fields: dict[str, object] | None = None,
-            body: bytes = b"") -> bytes:
+def request(
+    method: str, path: str, host: str, fields: dict[str, object] | None = None, body: bytes = b""
+) -> bytes:
     length = {"Content-Length": len(body)} if method == "POST" else {}
     return _message(f"{method} {path} HTTP/1.1", {"Host": host, **(fields or {}), **length}, body)
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -18,12 +18,12 @@
 from birchstack.net.machine import Folder
 
 FILE = "ledger"
-WAITING, LOCKED = "ledger-next-", ".lock"   # the file of a process that waits while another holds the
-APART = 1 << 32                 # folder, and what tells that it lives; its bodies are numbered from here on
+WAITING, LOCKED = "ledger-next-", ".lock"  # the file of a process that waits while another holds the
+APART = 1 << 32  # folder, and what tells that it lives; its bodies are numbered from here on
 BLOCK = 512
-LINE = 512                      # room kept for what is still to be written of one document
-GROWN = 131072                  # the file is written anew when it is so long and mostly past
-WAITS = 256                     # told waits kept, the latest
+LINE = 512  # room kept for what is still to be written of one document
+GROWN = 131072  # the file is written anew when it is so long and mostly past
+WAITS = 256  # told waits kept, the latest
 log = logging.getLogger(__name__)
 
 
@@ -36,21 +36,21 @@
     destination: int
     key: str | None
     expiry: float
-    number: int                 # of its body's file
+    number: int  # of its body's file
     size: int
-    repeat_key: str | None = None   # by which its endpoints know a repeat (Idempotency-Key)
+    repeat_key: str | None = None  # by which its endpoints know a repeat (Idempotency-Key)
     body: bytes = b""
-    found: bool = False         # at the start, from a process before this one
-    due: float = 0.0            # its expiry on the sender's own clock; not on disk
-    sent: int = 0               # transmissions made
-    failed: int = 0             # of those, failed otherwise than by a refusal
-    out: tuple[str, float] | None = None    # zone and time of the one that is out
-    doubt: list[tuple[str, float]] = field(default_factory=list)    # of those that may have run
-    notice: tuple[str, float] | None = None     # result and wait to tell, owed until it is acknowledged
+    found: bool = False  # at the start, from a process before this one
+    due: float = 0.0  # its expiry on the sender's own clock; not on disk
+    sent: int = 0  # transmissions made
+    failed: int = 0  # of those, failed otherwise than by a refusal
+    out: tuple[str, float] | None = None  # zone and time of the one that is out
+    doubt: list[tuple[str, float]] = field(default_factory=list)  # of those that may have run
+    notice: tuple[str, float] | None = None  # result and wait to tell, owed until it is acknowledged
 
     def came_back(self, doubt: int, failed: int) -> None:
         if self.out is None:
-            self.sent += 1              # it was not written, and counts all the same
+            self.sent += 1  # it was not written, and counts all the same
         elif doubt:
             self.doubt.append(self.out)
         self.failed, self.out = self.failed + bool(failed), None
@@ -72,18 +72,18 @@
         as its own: at its start, and by adopt() while it runs. Guards against two processes that send the
         same documents, or write one file, and against documents left by one that ended before the holder. May
         hurt where the holder fills the folder: the quarter is not kept free for the one that waits."""
-        self._folder, self._limit = folder, limit - 4 * 4096    # the folder itself may count
+        self._folder, self._limit = folder, limit - 4 * 4096  # the folder itself may count
         self.owed: dict[str, Owed] = {}
-        self.ended: dict[str, None] = {}        # ended before the start; the file still told of them
-        self.waits: dict[str, float] = {}       # by endpoint, until when it told to wait, by the wall clock
-        self.freed: Callable[[int], None] = lambda destination: None    # hears of each end, by destination
-        self._theirs: dict[str, bool] = {}      # files that were taken up; whether this one's says so
+        self.ended: dict[str, None] = {}  # ended before the start; the file still told of them
+        self.waits: dict[str, float] = {}  # by endpoint, until when it told to wait, by the wall clock
+        self.freed: Callable[[int], None] = lambda destination: None  # hears of each end, by destination
+        self._theirs: dict[str, bool] = {}  # files that were taken up; whether this one's says so
         self._bodies = self._size = self._next = 0
         self._file, self._name = -1, FILE
         if waiting:
             self._name, self._limit = WAITING + waiting, self._limit // 4
             self._next = APART + int(waiting, 16)
-            folder.lock(self._name + LOCKED)    # before there is a file that could be taken up
+            folder.lock(self._name + LOCKED)  # before there is a file that could be taken up
             self._file = folder.open(self._name, fresh=True)
         else:
             self._recover()
@@ -94,10 +94,18 @@
         """True if bodies of these sizes can be taken on."""
         lines = LINE * (len(self.owed) + len(sizes))
         bodies = self._bodies + sum(map(blocks, sizes))
-        return bodies + blocks(2 * lines) + blocks(lines) + GROWN <= self._limit    # old file and new one
-
-    def take(self, doc_id: str, kind: str, destination: int, key: str | None, expiry: float,
-             body: bytes, repeat_key: str | None = None) -> Owed:
+        return bodies + blocks(2 * lines) + blocks(lines) + GROWN <= self._limit  # old file and new one
+
+    def take(
+        self,
+        doc_id: str,
+        kind: str,
+        destination: int,
+        key: str | None,
+        expiry: float,
+        body: bytes,
+        repeat_key: str | None = None,
+    ) -> Owed:
         """Raises OSError where it could not be kept; nothing is owed then."""
         owed = Owed(doc_id, kind, destination, key, expiry, self._next, len(body), repeat_key, body)
         self._next += 1
@@ -166,8 +174,11 @@
         for name in [name for name, ended in self._waited().items() if ended and name not in self._theirs]:
             try:
                 left = Replayed(self._folder.read(name))
-                fresh = [owed for each, owed in left.owed.items()
-                         if each not in self.owed and each not in self.ended]
+                fresh = [
+                    owed
+                    for each, owed in left.owed.items()
+                    if each not in self.owed and each not in self.ended
+                ]
                 lines = [words for owed in fresh for words in self._lines_of(owed)]
                 self._append(*lines, ["took", name])
             except OSError as problem:
@@ -188,9 +199,11 @@
         a version that had none: it counts as ended only once it does not hold the folder."""
         with contextlib.suppress(OSError):
             names = self._folder.names()
-            return {name: self._folder.lock(name + LOCKED) for name in sorted(names)
-                    if name.startswith(WAITING) and "." not in name
-                    and (self._file < 0 or name + LOCKED in names)}
+            return {
+                name: self._folder.lock(name + LOCKED)
+                for name in sorted(names)
+                if name.startswith(WAITING) and "." not in name and (self._file < 0 or name + LOCKED in names)
+            }
         return {}
 
     def _remove(self) -> None:
@@ -226,12 +239,21 @@
     @staticmethod
     def _line(words: list) -> bytes:
         text = json.dumps(words, separators=(",", ":")).encode()
-        return b"\n%08x %s" % (zlib.crc32(text), text)    # a torn line ends where the next one begins
+        return b"\n%08x %s" % (zlib.crc32(text), text)  # a torn line ends where the next one begins
 
     @staticmethod
     def _taken(owed: Owed) -> list:
-        return ["take", owed.id, owed.type, owed.destination, owed.key, owed.expiry, owed.number, owed.size,
-                *([owed.repeat_key] if owed.repeat_key else [])]
+        return [
+            "take",
+            owed.id,
+            owed.type,
+            owed.destination,
+            owed.key,
+            owed.expiry,
+            owed.number,
+            owed.size,
+            *([owed.repeat_key] if owed.repeat_key else []),
+        ]
 
     def _append(self, *lines: list) -> None:
         line = b"".join(map(self._line, lines))
@@ -267,7 +289,7 @@
         except OSError as problem:
             if fresh >= 0:
                 self._folder.close(fresh)
-            self._size = 0              # tried again when as much has been written once more
+            self._size = 0  # tried again when as much has been written once more
             say(log, "not compacted", logging.ERROR, problem=problem)
             return False
         self._folder.close(self._file)
@@ -290,7 +312,7 @@
         for owed in self.owed.values():
             owed.found = True
             if owed.out:
-                owed.doubt.append(owed.out)     # it may have run, and its outcome will not come
+                owed.doubt.append(owed.out)  # it may have run, and its outcome will not come
                 owed.out = None
             self._load(owed)
         self._clear(not all(waited.values()))
@@ -308,7 +330,7 @@
             owed.body = self._folder.read(self._body(owed))
         if len(owed.body) == owed.size:
             self._bodies += blocks(owed.size)
-        else:                           # cannot be sent any more: its end is still owed
+        else:  # cannot be sent any more: its end is still owed
             say(log, "body lost", logging.ERROR, doc=owed.id)
             owed.size, owed.body, owed.notice = 0, b"", ("dead", 0.0)
 
@@ -330,21 +352,21 @@
         self.owed: dict[str, Owed] = {}
         self.ended: dict[str, None] = {}
         self.waits: dict[str, float] = {}
-        self.took: set[str] = set()     # files of processes that waited: their documents are here
-        self.next = self.torn = 0       # after the last body's number; lines that cannot be read
+        self.took: set[str] = set()  # files of processes that waited: their documents are here
+        self.next = self.torn = 0  # after the last body's number; lines that cannot be read
         for line in filter(None, text.split(b"\n")):
             try:
                 if int(line[:8], 16) != zlib.crc32(line[9:]):
                     raise ValueError("sum")
                 self._replay(*json.loads(line[9:]))
             except (ValueError, TypeError, KeyError):
-                self.torn += 1          # a record that was being written at the end, or a broken disk
+                self.torn += 1  # a record that was being written at the end, or a broken disk
 
     def _replay(self, what: str, doc_id: str, *words) -> None:
-        if what == "wait":              # of an endpoint, not a document
+        if what == "wait":  # of an endpoint, not a document
             self.waits[doc_id] = max(float(words[0]), self.waits.pop(doc_id, 0.0))
             return
-        if what == "took":              # nor this
+        if what == "took":  # nor this
             self.took.add(doc_id)
             return
         if what == "take":
@@ -353,7 +375,7 @@
             return
         owed = self.owed[doc_id]
         if what == "call":
-            if owed.out:                # the record of how it ended is not there
+            if owed.out:  # the record of how it ended is not there
                 owed.doubt.append(owed.out)
             owed.sent, owed.out = owed.sent + 1, (words[0], words[1])
         elif what == "kept":
--- a/birchstack/net/log.py
+++ b/birchstack/net/log.py
@@ -12,14 +12,18 @@
 import sys
 from collections import Counter
 
-broken: Counter[str] = Counter()        # what did not hold, in release
+broken: Counter[str] = Counter()  # what did not hold, in release
 
 
 class KeyValue(logging.Formatter):
     def format(self, record: logging.LogRecord) -> str:
-        words = {"time": f"{record.created:.3f}", "level": record.levelname.lower(),
-                 "part": record.name.rpartition(".")[2], "event": record.getMessage(),
-                 **getattr(record, "words", {})}
+        words = {
+            "time": f"{record.created:.3f}",
+            "level": record.levelname.lower(),
+            "part": record.name.rpartition(".")[2],
+            "event": record.getMessage(),
+            **getattr(record, "words", {}),
+        }
         if record.exc_info:
             words["trace"] = self.formatException(record.exc_info)
         return " ".join(f"{key}={self._quoted(value)}" for key, value in words.items())
@@ -41,9 +45,9 @@
         self._descriptor, self.dropped = descriptor, 0
 
     def emit(self, record: logging.LogRecord) -> None:
-        line = self.format(record).encode(errors="replace")[:select.PIPE_BUF - 1] + b"\n"
+        line = self.format(record).encode(errors="replace")[: select.PIPE_BUF - 1] + b"\n"
         try:
-            if select.select([], [self._descriptor], [], 0.0)[1]:   # room for a line of this length
+            if select.select([], [self._descriptor], [], 0.0)[1]:  # room for a line of this length
                 os.write(self._descriptor, line)
                 return
         except (OSError, ValueError):
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -19,11 +19,11 @@
 import time
 from collections.abc import Callable
 
-ACCEPTED, BACKLOG = 16, 1024            # so many are let in at once; so many wait for that in the kernel
+ACCEPTED, BACKLOG = 16, 1024  # so many are let in at once; so many wait for that in the kernel
 SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-PAUSE_S = 0.1                           # nobody is let in for so long once descriptors ran out
+PAUSE_S = 0.1  # nobody is let in for so long once descriptors ran out
 BOOT = "/proc/sys/kernel/random/boot_id"
-ANCHOR = "clock"                        # the file that ties the lasting clock to the wall clock
+ANCHOR = "clock"  # the file that ties the lasting clock to the wall clock
 
 
 class Folder:
@@ -45,7 +45,7 @@
             if problem.errno in (errno.EWOULDBLOCK, errno.EAGAIN):
                 os.close(handle)
                 return False
-        self._locks[name] = handle      # the lock ends with the process, however it ends
+        self._locks[name] = handle  # the lock ends with the process, however it ends
         return True
 
     def unlock(self, name: str) -> None:
@@ -106,13 +106,18 @@
     in at once and no more, the others wait in the kernel; where none is left, short() may close something and
     accepting rests for PAUSE_S. May hurt: a burst comes in over more passes."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, door: socket.socket,
-                 protocol: Callable[[], asyncio.BufferedProtocol], at_once: int,
-                 short: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        door: socket.socket,
+        protocol: Callable[[], asyncio.BufferedProtocol],
+        at_once: int,
+        short: Callable[[], None],
+    ) -> None:
         door.setblocking(False)
         self._loop, self._door, self._protocol, self._short = loop, door, protocol, short
         self._at_once = at_once
-        self._coming: set[asyncio.Task] = set()         # let in; their owners do not know of them yet
+        self._coming: set[asyncio.Task] = set()  # let in; their owners do not know of them yet
         self.sockets: tuple[socket.socket, ...] = (door,)
         self._begin()
 
@@ -150,7 +155,7 @@
             task.add_done_callback(self._coming.discard)
 
     async def _let_in(self, client: socket.socket) -> None:
-        with contextlib.suppress(OSError):      # gone again already
+        with contextlib.suppress(OSError):  # gone again already
             await self._loop.connect_accepted_socket(self._protocol, client)
 
 
@@ -185,9 +190,15 @@
         most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
         return sys.maxsize if most == resource.RLIM_INFINITY else most
 
-    async def listen(self, loop: asyncio.AbstractEventLoop, where: tuple[str, int],
-                     protocol: Callable[[], asyncio.BufferedProtocol], shared: bool = True,
-                     at_once: int = ACCEPTED, short: Callable[[], None] = lambda: None) -> Listener:
+    async def listen(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        where: tuple[str, int],
+        protocol: Callable[[], asyncio.BufferedProtocol],
+        shared: bool = True,
+        at_once: int = ACCEPTED,
+        short: Callable[[], None] = lambda: None,
+    ) -> Listener:
         """shared: another process of this sender may listen at the same address (SO_REUSEPORT); at_once: so
         many are on their way in at most; short() hears that no descriptor was left for the next."""
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
@@ -198,12 +209,13 @@
         """True if somebody waits to be let in."""
         return bool(select.select(server.sockets, [], [], 0.0)[0])
 
-    def on_signals(self, loop: asyncio.AbstractEventLoop, end: Callable[[], None],
-                   reload: Callable[[], None]) -> None:
+    def on_signals(
+        self, loop: asyncio.AbstractEventLoop, end: Callable[[], None], reload: Callable[[], None]
+    ) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, end)
         loop.add_signal_handler(signal.SIGHUP, reload)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])     # one that came before is heard now
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])  # one that came before is heard now
 
 
 class LastingClock:
@@ -224,7 +236,7 @@
                 self._ahead_ms = float(ahead)
                 return
         except (OSError, ValueError):
-            pass                        # the first process here, or the file was cut off: as if the first
+            pass  # the first process here, or the file was cut off: as if the first
         with contextlib.suppress(OSError):
             folder.write(ANCHOR, f"{boot or '-'} {self._ahead_ms!r}\n".encode("ascii"))
 
--- a/birchstack/net/notices.py
+++ b/birchstack/net/notices.py
@@ -16,9 +16,9 @@
 from birchstack.net.log import say
 
 PATH = "/v1/notices"
-ANSWER_S, LONGEST_S = 0.1, 2.0          # an answer comes at once: waited for so long, twice as long each time
-AGAIN_S = 0.1                           # that none comes in a row; a failed one is sent again after this
-MOST = 64                               # in one request
+ANSWER_S, LONGEST_S = 0.1, 2.0  # an answer comes at once: waited for so long, twice as long each time
+AGAIN_S = 0.1  # that none comes in a row; a failed one is sent again after this
+MOST = 64  # in one request
 log = logging.getLogger(__name__)
 
 
@@ -61,7 +61,7 @@
         self._timer = None
         if not self._waiting:
             return
-        self._under_way = list(self._waiting)[:self._most]
+        self._under_way = list(self._waiting)[: self._most]
         self._timer = self._loop.call_later(self._answer_s, self._silent)
         if self._link and not self._link.closed:
             self._write()
@@ -83,7 +83,7 @@
             for event in self._reader.feed(data):
                 if isinstance(event, http1.Response):
                     self._answer = event
-                elif event is http1.END:        # what comes behind it answers nothing that is under way later
+                elif event is http1.END:  # what comes behind it answers nothing that is under way later
                     if not (self._answer.keep and self._reader.between and self._under_way):
                         self._hang_up()
                     if self._under_way:
@@ -110,7 +110,7 @@
             self._known(told)
             self._send()
         else:
-            self._most = 1              # one that cannot be read must not hold up the others
+            self._most = 1  # one that cannot be read must not hold up the others
             for each in told[:1] if len(told) == 1 else []:
                 self._waiting[each] = self._waiting.pop(each)
             say(log, "notice not taken", logging.ERROR, status=status, count=len(told))
--- a/birchstack/net/operators.py
+++ b/birchstack/net/operators.py
@@ -18,11 +18,11 @@
 from birchstack.net.log import say
 from birchstack.net.machine import Machine
 
-WHOLE_S = 2.0                           # a call not whole by then is cut; it holds nobody up meanwhile
-MOST, AT_ONCE = 64, 2                   # connections in all; the oldest is cut for a new one; let in at once
-BODY = 4096                             # an operator's call brings no more than this
-PREFIX = "balancer"                     # of the names of the figures
-TRAIL = ("GET", "/fleet/trail")         # asked by keepers, where BALANCER_FLEET is set
+WHOLE_S = 2.0  # a call not whole by then is cut; it holds nobody up meanwhile
+MOST, AT_ONCE = 64, 2  # connections in all; the oldest is cut for a new one; let in at once
+BODY = 4096  # an operator's call brings no more than this
+PREFIX = "balancer"  # of the names of the figures
+TRAIL = ("GET", "/fleet/trail")  # asked by keepers, where BALANCER_FLEET is set
 log = logging.getLogger(__name__)
 
 
@@ -32,21 +32,21 @@
 
     yes: bool
     text: str = ""
-    status: int = 0                     # another than 200 or 400 where the form says more
-    content: bytes | None = None        # for programs, in place of the line
+    status: int = 0  # another than 200 or 400 where the form says more
+    content: bytes | None = None  # for programs, in place of the line
 
     def bytes(self) -> bytes:
         status = self.status or (200 if self.yes else 400)
         if self.content is not None:
             return _answer(status, self.content, "application/octet-stream")
-        return _answer(status, self.text.encode() + (
-            b"" if self.text.endswith("\n") or not self.text else b"\n"))
+        return _answer(
+            status, self.text.encode() + (b"" if self.text.endswith("\n") or not self.text else b"\n")
+        )
 
 
 def _answer(status: int, body: bytes, kind: str = "text/plain; charset=utf-8") -> bytes:
     head = f"HTTP/1.1 {status} {http1.REASONS.get(status, 'Status')}\r\n"
-    fields = f"Content-Type: {kind}\r\nContent-Length: {len(body)}\r\n" \
-             "Connection: close\r\n\r\n"
+    fields = f"Content-Type: {kind}\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n"
     return (head + fields).encode("latin-1") + body
 
 
@@ -55,21 +55,32 @@
     """What a sender counts from its start, in the project's words; by_type: delivered, refused, failed."""
 
     by_type: dict[str, tuple[int, int, int]]
-    transmitted: int                    # written whole to endpoints
-    held: int                           # taken on, and not ended
-    listed: int                         # endpoints in the list
-    avoided: int                        # of those, out by hand or avoided by the decisions
-    reloads: tuple[int, int]            # configurations taken over, and not taken over
-    more: list[tuple[str, object]] = field(default_factory=list)    # of whoever keeps the record, if anybody
+    transmitted: int  # written whole to endpoints
+    held: int  # taken on, and not ended
+    listed: int  # endpoints in the list
+    avoided: int  # of those, out by hand or avoided by the decisions
+    reloads: tuple[int, int]  # configurations taken over, and not taken over
+    more: list[tuple[str, object]] = field(default_factory=list)  # of whoever keeps the record, if anybody
 
     def text(self) -> str:
         """In the operators' form: one name=value a line, with their names."""
-        lines = [f"{PREFIX}.responses.{name}.{word}={count}" for name, counts in self.by_type.items()
-                 for word, count in zip(("ok", "shed", "errors"), counts, strict=True)]
-        lines += [f"{PREFIX}.{word}={count}" for word, count in (
-            ("tries", self.transmitted), ("active", self.held), ("pool_size", self.listed),
-            ("pool_ejected", self.avoided), ("config_applied", self.reloads[0]),
-            ("config_rejected", self.reloads[1]), *self.more)]
+        lines = [
+            f"{PREFIX}.responses.{name}.{word}={count}"
+            for name, counts in self.by_type.items()
+            for word, count in zip(("ok", "shed", "errors"), counts, strict=True)
+        ]
+        lines += [
+            f"{PREFIX}.{word}={count}"
+            for word, count in (
+                ("tries", self.transmitted),
+                ("active", self.held),
+                ("pool_size", self.listed),
+                ("pool_ejected", self.avoided),
+                ("config_applied", self.reloads[0]),
+                ("config_rejected", self.reloads[1]),
+                *self.more,
+            )
+        ]
         return "\n".join(lines) + "\n"
 
 
@@ -83,7 +94,7 @@
     enable: Callable[[str], Answer]
     drain: Callable[[], Answer]
     undrain: Callable[[], Answer]
-    trail: Callable[[dict[str, list[str]]], Answer] | None = None   # where a record is kept
+    trail: Callable[[dict[str, list[str]]], Answer] | None = None  # where a record is kept
 
 
 class Caller:
@@ -115,7 +126,7 @@
     def _say(self, answer: Answer) -> None:
         self.done = True
         self.link.write(answer.bytes())
-        self.link.finish(lambda: self._door.left(self))     # until then it has its descriptor
+        self.link.finish(lambda: self._door.left(self))  # until then it has its descriptor
 
     def lost(self) -> None:
         self.done = True
@@ -132,7 +143,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, calls: Calls, most: int = MOST) -> None:
         self._loop, self._calls, self._most = loop, calls, most
-        self._callers: dict[Caller, float] = {}     # by when each must be whole, oldest first
+        self._callers: dict[Caller, float] = {}  # by when each must be whole, oldest first
         self._server: asyncio.Server | None = None
         self._sweeping: asyncio.TimerHandle | None = None
 
@@ -141,7 +152,7 @@
         self._sweep()
 
     def joined(self, caller: Caller) -> None:
-        if len(self._callers) >= self._most:          # a crowd of silent ones must not keep the next call out
+        if len(self._callers) >= self._most:  # a crowd of silent ones must not keep the next call out
             next(iter(self._callers)).cut()
         self._callers[caller] = self._loop.time() + WHOLE_S
 
@@ -159,9 +170,13 @@
         asked = urllib.parse.parse_qs(head.query, keep_blank_values=True)
         ids = asked.get("id", [])
         calls = self._calls
-        figures = lambda: Answer(True, calls.figures().text())     # noqa: E731
-        plain = {("GET", "/ready"): calls.ready, ("GET", "/metrics"): figures,
-                 ("POST", "/drain"): calls.drain, ("POST", "/undrain"): calls.undrain}
+        figures = lambda: Answer(True, calls.figures().text())  # noqa: E731
+        plain = {
+            ("GET", "/ready"): calls.ready,
+            ("GET", "/metrics"): figures,
+            ("POST", "/drain"): calls.drain,
+            ("POST", "/undrain"): calls.undrain,
+        }
         by_id = {("POST", "/endpoints/disable"): calls.disable, ("POST", "/endpoints/enable"): calls.enable}
         key = head.method, head.path
         try:
@@ -175,12 +190,18 @@
                 answer = Answer(False, "id: one endpoint id is wanted")
             else:
                 answer = Answer(False, f"no such call: {head.method} {head.path}", 404)
-        except Exception:               # a fault of the sender's part must still be answered
+        except Exception:  # a fault of the sender's part must still be answered
             log.exception("an operator's call failed")
             answer = Answer(False, "the call failed", 500)
         if key not in (("GET", "/ready"), ("GET", "/metrics"), TRAIL):
-            say(log, "operator's call", call=f"{head.method} {head.path}", id=",".join(ids) or "-",
-                yes=answer.yes, said=answer.text.splitlines()[0] if answer.text else "")
+            say(
+                log,
+                "operator's call",
+                call=f"{head.method} {head.path}",
+                id=",".join(ids) or "-",
+                yes=answer.yes,
+                said=answer.text.splitlines()[0] if answer.text else "",
+            )
         return answer
 
     def close(self) -> None:
--- a/birchstack/net/overflow.py
+++ b/birchstack/net/overflow.py
@@ -21,9 +21,9 @@
 from birchstack.net.log import say
 from birchstack.net.machine import Folder
 
-LINES, RUN, DUE = 16, 32, 64    # in one turn: destinations read from, documents of each, and of those overdue
-LAST_MS = CALL_MS - 1.0         # so long before their expiry the decisions surely send them no more
-AGAIN_S, LONGEST_S = 0.5, 86400.0       # after an error of the disk; asyncio's timers hold no more than days
+LINES, RUN, DUE = 16, 32, 64  # in one turn: destinations read from, documents of each, and of those overdue
+LAST_MS = CALL_MS - 1.0  # so long before their expiry the decisions surely send them no more
+AGAIN_S, LONGEST_S = 0.5, 86400.0  # after an error of the disk; asyncio's timers hold no more than days
 log = logging.getLogger(__name__)
 
 
@@ -81,31 +81,39 @@
     kept: Callable[..., Kept]
 
 
-Make = Callable[[Folder, float], Made]      # of the folder, at a time of the lasting clock
+Make = Callable[[Folder, float], Made]  # of the folder, at a time of the lasting clock
 
 
 class Overflow:
     """turn() has its part in each turn of the sender; adopt(now, owed, tenant) puts a document that came back
     to the decisions; soon() asks for another turn."""
 
-    def __init__(self, made: Made, ledger: Ledger, core: Sender, wall: float, loop: asyncio.AbstractEventLoop,
-                 adopt: Callable[[float, Owed, str | None], object], soon: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        made: Made,
+        ledger: Ledger,
+        core: Sender,
+        wall: float,
+        loop: asyncio.AbstractEventLoop,
+        adopt: Callable[[float, Owed, str | None], object],
+        soon: Callable[[], None],
+    ) -> None:
         self._store, self._window, self._kept = made
         self._ledger, self._core, self._adopt, self._soon = ledger, core, adopt, soon
         self._loop, self._began = loop, wall
         self._store.drop([*ledger.ended, *ledger.owed])
         ledger.freed = self.freed
-        self._fresh: dict[str, Handed] = {}     # of this turn, not recorded yet
-        self._ahead: dict[int, int] = {}        # how many of those, by destination
-        self._lines = dict.fromkeys(self._store.destinations())     # that have something on disk
-        self._stirred = dict.fromkeys(self._lines)      # of those, where there may be room
-        self._tidy = self._begins = True        # whether housekeeping is due; nothing was asked yet
+        self._fresh: dict[str, Handed] = {}  # of this turn, not recorded yet
+        self._ahead: dict[int, int] = {}  # how many of those, by destination
+        self._lines = dict.fromkeys(self._store.destinations())  # that have something on disk
+        self._stirred = dict.fromkeys(self._lines)  # of those, where there may be room
+        self._tidy = self._begins = True  # whether housekeeping is due; nothing was asked yet
         self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
         return len(self._store)
 
-    def __bool__(self) -> bool:         # an empty one, too, is there
+    def __bool__(self) -> bool:  # an empty one, too, is there
         return True
 
     def holds(self, doc_id: str) -> bool:
@@ -135,9 +143,19 @@
         self._ahead[handed.destination] -= 1
         if not self._ahead[handed.destination]:
             del self._ahead[handed.destination]
-        self._store.append(self._kept(
-            handed.id, handed.type, handed.destination, handed.key, wall + handed.left_ms, handed.body,
-            handed.repeat_key, handed.tenant, wall))
+        self._store.append(
+            self._kept(
+                handed.id,
+                handed.type,
+                handed.destination,
+                handed.key,
+                wall + handed.left_ms,
+                handed.body,
+                handed.repeat_key,
+                handed.tenant,
+                wall,
+            )
+        )
         self._lines[handed.destination] = self._stirred[handed.destination] = self._tidy = True
         return True
 
@@ -152,12 +170,12 @@
         if self._timer:
             self._timer.cancel()
         for destination in self._lines if self._begins else ():
-            self._room(destination)             # the decisions know, before the first call, what waits where
+            self._room(destination)  # the decisions know, before the first call, what waits where
         self._begins = False
         try:
             more = self._end_overdue(now, wall)
             for destination in [*self._stirred][:LINES]:
-                if self._read(now, destination) < RUN:      # no more room, or nothing left: until one ends
+                if self._read(now, destination) < RUN:  # no more room, or nothing left: until one ends
                     self._stirred.pop(destination, None)
             self._tidy = self._tidy and self._store.step()
         except OSError as problem:
@@ -165,7 +183,7 @@
             self._timer = self._loop.call_later(AGAIN_S, self._soon)
             return
         if more or self._stirred or self._tidy:
-            self._loop.call_soon(self._soon)    # others have their pass first
+            self._loop.call_soon(self._soon)  # others have their pass first
         due_s = (self._store.next_due() - LAST_MS - wall) / 1000.0
         if due_s < LONGEST_S:
             self._timer = self._loop.call_later(max(0.0, due_s), self._soon)
@@ -214,8 +232,9 @@
         return len(run)
 
     def _move(self, kept: Kept) -> None:
-        owed = self._ledger.take(kept.id, kept.type, kept.destination, kept.key, kept.expiry, kept.body,
-                                 kept.repeat_key)
+        owed = self._ledger.take(
+            kept.id, kept.type, kept.destination, kept.key, kept.expiry, kept.body, kept.repeat_key
+        )
         owed.found = kept.taken < self._began
 
     def _hand_over(self, now: float, kept: Kept) -> None:
--- a/birchstack/net/room.py
+++ b/birchstack/net/room.py
@@ -12,8 +12,8 @@
 # Never clients' nor calls': standard streams, the loop's own, listeners, lock, ledger and its new file,
 # bodies, watch and notices (an old connection beside a new one), a trail. Twelve are held at rest.
 RESERVE = 24
-CLIENTS_SHARE = 40      # at most, in hundredths; a quarter is theirs whatever the calls may need
-POOLED = 8              # idle connections to endpoints that are kept at least
+CLIENTS_SHARE = 40  # at most, in hundredths; a quarter is theirs whatever the calls may need
+POOLED = 8  # idle connections to endpoints that are kept at least
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,5 +46,6 @@
     """The configuration within what the system lets the process have: no more sockets, no more calls out."""
     sockets = min(config.sockets, descriptors)
     slots = shares(sockets, config.settings.slots).slots
-    return dataclasses.replace(config, sockets=sockets,
-                               settings=dataclasses.replace(config.settings, slots=slots))
+    return dataclasses.replace(
+        config, sockets=sockets, settings=dataclasses.replace(config.settings, slots=slots)
+    )
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -31,58 +31,77 @@
 from birchstack.net.room import fitted, shares
 from birchstack.net.witness import Make, Moment
 
-LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5     # after SIGTERM: new clients, new calls, answers to calls
-OVERDUE_MS = 100.0              # past its expiry, a document that has no end is overdue
-NEAR_MS = 100.0                 # an answer so shortly before it may count as too late: clocks and sockets lag
+LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5  # after SIGTERM: new clients, new calls, answers to calls
+OVERDUE_MS = 100.0  # past its expiry, a document that has no end is overdue
+NEAR_MS = 100.0  # an answer so shortly before it may count as too late: clocks and sockets lag
 REPORT_S = 60.0
-REMEMBERED = 4096               # answers kept for ids that come again
-LOCK, LOOK_S, LAX = "lock", 0.05, 20    # held by the process that sends from the folder; asked for so often
+REMEMBERED = 4096  # answers kept for ids that come again
+LOCK, LOOK_S, LAX = "lock", 0.05, 20  # held by the process that sends from the folder; asked for so often
 log = logging.getLogger(__name__)
 
 
 class Node:
     """Carries out what the decisions say, and tells them what happens."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop,
-                 machine: Machine | None = None, witness: Make | None = None,
-                 store: MakeStore | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        machine: Machine | None = None,
+        witness: Make | None = None,
+        store: MakeStore | None = None,
+    ) -> None:
         self._machine = machine or Machine()
         self._config = config = fitted(config, self._machine.descriptors())
         self._loop, self._began = loop, loop.time()
         folder = self._folder = self._machine.folder(config.state)
         self._lasting = LastingClock(self._machine, folder)
         self._core = Sender(config.settings, config.seed, self)
-        self._holds = folder.lock(LOCK)         # else another process of this sender holds it, and sends
+        self._holds = folder.lock(LOCK)  # else another process of this sender holds it, and sends
         self._ledger = Ledger(folder, config.disk_bytes, "" if self._holds else self._machine.unique())
         room = shares(config.sockets, config.settings.slots)
-        self._calls = Calls(loop, self.clock, config.idle_ms, config.dial_ms, room.idle, self._up,
-                            self._delivered, self._ended)
+        self._calls = Calls(
+            loop,
+            self.clock,
+            config.idle_ms,
+            config.dial_ms,
+            room.idle,
+            self._up,
+            self._delivered,
+            self._ended,
+        )
         types = {kind.name: kind.expiry_ms for kind in config.settings.types}
         self._list = Listed(self._calls)
         self._front = Front(loop, types, room.clients, self._list.serves, self._handed)
         self._watch = Watch(loop, config.discovery, config.kinds, self._listed, self._told)
         self._notices = Notices(loop, config.discovery, self._acknowledged)
-        self._inbox: list[tuple] = []           # the events of this pass
-        self._fresh: dict[str, Handed] = {}     # handed in during this turn, not yet answered
-        self._starting: dict[str, Call] = {}    # calls that begin at the end of this turn
-        self._connected: list[Call] = []        # calls with their connection: they leave at its end
-        self._answers: dict[str, tuple[str, float]] = {}    # by id, for those that come again
+        self._inbox: list[tuple] = []  # the events of this pass
+        self._fresh: dict[str, Handed] = {}  # handed in during this turn, not yet answered
+        self._starting: dict[str, Call] = {}  # calls that begin at the end of this turn
+        self._connected: list[Call] = []  # calls with their connection: they leave at its end
+        self._answers: dict[str, tuple[str, float]] = {}  # by id, for those that come again
         self._by_hand = ByHand(folder, self._lasting.ms)
-        self._refused: list[str] = []           # in this turn, for the witness
+        self._refused: list[str] = []  # in this turn, for the witness
         self._failed: list[str] = []
-        self._counted: Counter[tuple[str, int]] = Counter()    # by type: delivered, refused, failed
-        self._reloads, self._untried = [0, 0], Counter()    # found at the start, given up uncalled: by reason
+        self._counted: Counter[tuple[str, int]] = Counter()  # by type: delivered, refused, failed
+        self._reloads, self._untried = [0, 0], Counter()  # found at the start, given up uncalled: by reason
         self._turn_due, self._turned_at = False, 0.0
         self._alarm: asyncio.TimerHandle | None = None
         self._closing_at: float | None = None
-        self._ready = self._handing = False     # handing: another process waits to send what this one holds
+        self._ready = self._handing = False  # handing: another process waits to send what this one holds
         self._unheard: list[tuple[str, list]] = []  # lists, while another process holds the folder
         self._witness = witness(config, self._machine, folder, self._moment) if witness else None
-        asked = Asked(self._ready_now, self._figures, lambda endpoint: self._by_hand_now(endpoint, True),
-                      lambda endpoint: self._by_hand_now(endpoint, False), lambda: self._drain(True),
-                      lambda: self._drain(False), self._witness.asked if self._witness else None)
+        asked = Asked(
+            self._ready_now,
+            self._figures,
+            lambda endpoint: self._by_hand_now(endpoint, True),
+            lambda endpoint: self._by_hand_now(endpoint, False),
+            lambda: self._drain(True),
+            lambda: self._drain(False),
+            self._witness.asked if self._witness else None,
+        )
         self._door = Door(loop, asked, room.callers) if config.ops else None
-        self._store, self._overflow = store, None   # documents beyond a window, where operators keep them
+        self._store, self._overflow = store, None  # documents beyond a window, where operators keep them
         self.ended = loop.create_future()
 
     def clock(self) -> float:
@@ -106,15 +125,21 @@
         self._loop.call_later(REPORT_S, self._report)
         self._ready = True
         self._loop.call_later(LOOK_S, self._look_at_the_folder)
-        say(log, "ready", name=self._config.name, owed=len(self._ledger.owed) + len(self._overflow or ()),
-            endpoints=len(self._list.entries), holds=self._holds)
+        say(
+            log,
+            "ready",
+            name=self._config.name,
+            owed=len(self._ledger.owed) + len(self._overflow or ()),
+            endpoints=len(self._list.entries),
+            holds=self._holds,
+        )
 
     def _take_up(self, found: dict[str, Owed]) -> None:
         """What the folder owes, found by id, goes to the decisions."""
         now, wall = self.clock(), self._lasting.ms()
         self._remember({doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *found)})
         back = self._by_hand.back
-        for name in {**self._ledger.waits, **back}:     # before the documents: they may be held by it
+        for name in {**self._ledger.waits, **back}:  # before the documents: they may be held by it
             wait_ms = self._ledger.waits.get(name, wall) - wall
             back_ms = wall - back.get(name, wall + 1.0)
             if wait_ms > 0.0 or back_ms >= 0.0:
@@ -126,8 +151,15 @@
                 continue
             self._inbox.append((self._adopt, owed))
         if self._store and self._holds and found is self._ledger.owed:
-            self._overflow = Overflow(self._store(self._folder, wall), self._ledger, self._core, wall,
-                                      self._loop, functools.partial(self._guarded, self._adopt), self._soon)
+            self._overflow = Overflow(
+                self._store(self._folder, wall),
+                self._ledger,
+                self._core,
+                wall,
+                self._loop,
+                functools.partial(self._guarded, self._adopt),
+                self._soon,
+            )
 
     def _adopt(self, now: float, owed: Owed, tenant: str | None = None) -> None:
         """What was taken on before goes to the decisions, with its past."""
@@ -157,11 +189,11 @@
             self._soon()
         if self._holds or not self._folder.lock(LOCK):
             return
-        self._turn()                            # what came so far, under the file of the wait
+        self._turn()  # what came so far, under the file of the wait
         self._ledger.close()
         self._ledger = Ledger(self._folder, self._config.disk_bytes)
         self._core, self._holds = Sender(self._config.settings, self._config.seed, self), True
-        self._by_hand.read()                    # the other may have been told more meanwhile
+        self._by_hand.read()  # the other may have been told more meanwhile
         if self._witness:
             self._witness.begins(True)
         for mode, listed in self._unheard:
@@ -194,7 +226,7 @@
         if self._holds:
             self._happened(self._core.endpoints, mode, [self._by_hand.as_told(entry) for entry, _ in listed])
             return
-        if mode != our.CHANGES:                 # the decisions will hear of them when this process sends
+        if mode != our.CHANGES:  # the decisions will hear of them when this process sends
             self._unheard.clear()
         self._unheard.append((mode, [entry for entry, _ in listed]))
 
@@ -209,15 +241,15 @@
             self._counted[owed.type, 0] += 1
             if self.clock() < owed.due - NEAR_MS:
                 self._ledger.done(owed)
-            else:                               # where it counts, its time may be up: it ends by a notice
-                self._ledger.notice(owed, "dead", 0.0)      # too, which does no harm if it is over
+            else:  # where it counts, its time may be up: it ends by a notice
+                self._ledger.notice(owed, "dead", 0.0)  # too, which does no harm if it is over
                 self._notices.tell(owed.id, "dead", 0.0)
 
     def _ended(self, call: Call, outcome: our.Outcome) -> None:
         if outcome.wait_ms > 0.0:
             self._ledger.told(call.endpoint, self._lasting.ms() + outcome.wait_ms)
         owed = self._ledger.owed.get(call.doc)
-        if owed and owed.notice is None:        # else it is kept until the platform knows
+        if owed and owed.notice is None:  # else it is kept until the platform knows
             if outcome.over:
                 self._ledger.done(owed)
             else:
@@ -257,7 +289,7 @@
     def _guarded(self, tell, *words: object) -> bool:
         try:
             tell(*words)
-        except Exception:       # a fault of the decisions must not end what else is owed
+        except Exception:  # a fault of the decisions must not end what else is owed
             log.exception("a fault of the decisions")
             return holds(False, "the decisions do not fail")
         return True
@@ -267,7 +299,7 @@
         late = self.clock() - OVERDUE_MS
         overdue = [each for each in self._ledger.owed.values() if each.due < late and not each.notice]
         if overdue:
-            self._soon()                        # after a stall the decisions have their turn first
+            self._soon()  # after a stall the decisions have their turn first
         for owed in [each for each in overdue if each.due < self._turned_at - OVERDUE_MS]:
             holds(owed.out is None, "no transmission lasts beyond the expiry")
             self._owe_notice(owed.id, "dead", 0.0)
@@ -280,7 +312,7 @@
         age, gone = handed.told()
         advice_ms = self._config.settings.retry_after_ms
         if gone:
-            handed.reply(CLOSED)                # nobody hears it, and nothing was taken on
+            handed.reply(CLOSED)  # nobody hears it, and nothing was taken on
         elif handed.id in self._fresh:
             self._fresh[handed.id].again.append(handed)
         elif handed.id in self._answers or self._overflow and self._overflow.holds(handed.id):
@@ -297,8 +329,15 @@
         else:
             handed.left_ms -= age
             self._fresh[handed.id] = handed
-            words = (handed.id, handed.destination, handed.type, handed.left_ms, handed.key, our.NO_PAST,
-                     handed.tenant)
+            words = (
+                handed.id,
+                handed.destination,
+                handed.type,
+                handed.left_ms,
+                handed.key,
+                our.NO_PAST,
+                handed.tenant,
+            )
             if not self._guarded(self._core.document, now, *words) and self._fresh.pop(handed.id, None):
                 self._guarded(self._core.withdrawn, now, handed.id)
                 self._answer(handed, CLOSED, advice_ms)
@@ -317,14 +356,21 @@
     def _settle(self, now: float) -> None:
         """After the turn: the ledger, then the answers, then the calls."""
         fresh, self._fresh = self._fresh, {}
-        wall = self._lasting.ms() + now - self.clock()      # when the turn began: it may have been long
+        wall = self._lasting.ms() + now - self.clock()  # when the turn began: it may have been long
         for handed in fresh.values():
             try:
                 if self._overflow and self._overflow.record(handed, wall):
                     self._answer(handed, TAKEN)
                     continue
-                owed = self._ledger.take(handed.id, handed.type, handed.destination, handed.key,
-                                         wall + handed.left_ms, handed.body, handed.repeat_key)
+                owed = self._ledger.take(
+                    handed.id,
+                    handed.type,
+                    handed.destination,
+                    handed.key,
+                    wall + handed.left_ms,
+                    handed.body,
+                    handed.repeat_key,
+                )
             except OSError as problem:
                 say(log, "not taken on", logging.ERROR, problem=problem)
                 self._happened(self._core.withdrawn, handed.id)
@@ -337,8 +383,10 @@
         leaving = []
         for call in starting.values():
             owed = self._ledger.owed.get(call.doc)
-            if not holds(owed and owed.notice is None and call.endpoint in self._calls.addresses,
-                         "only what is owed is sent, and only to what is listed"):
+            if not holds(
+                owed and owed.notice is None and call.endpoint in self._calls.addresses,
+                "only what is owed is sent, and only to what is listed",
+            ):
                 self._unsent(call)
                 continue
             call.body, call.repeat_key = owed.body, owed.repeat_key
@@ -357,8 +405,13 @@
         drained, gone or moved, the document ended, or this process told to end. May hurt: the connection is
         closed, and the next call there dials again."""
         owed = self._ledger.owed.get(call.doc)
-        if not (owed and owed.notice is None and self._calling() and self._calls.waiting(call)
-                and self._core.stands(now, call.doc)):
+        if not (
+            owed
+            and owed.notice is None
+            and self._calling()
+            and self._calls.waiting(call)
+            and self._core.stands(now, call.doc)
+        ):
             return False
         try:
             self._ledger.call(owed, self._list.entries[call.endpoint].zone, self._lasting.ms())
@@ -379,8 +432,16 @@
 
     def _report(self) -> None:
         """A line now and then for who looks after it."""
-        say(log, "state", owed=len(self._ledger.owed), out=len(self._calls), notices=len(self._notices),
-            clients=len(self._front), broken=dict(broken), untried=dict(self._untried))
+        say(
+            log,
+            "state",
+            owed=len(self._ledger.owed),
+            out=len(self._calls),
+            notices=len(self._notices),
+            clients=len(self._front),
+            broken=dict(broken),
+            untried=dict(self._untried),
+        )
         self._loop.call_later(REPORT_S, self._report)
 
     # What the decisions ask for
@@ -405,9 +466,12 @@
     def _owe_notice(self, doc_id: str, result: str, wait_ms: float, why: str = "") -> None:
         owed = self._ledger.owed.get(doc_id)
         if holds(owed and owed.notice is None, "a document has one end"):
-            if owed.found and not owed.sent:    # a restart found it, and nothing tried it
-                why = why or ("its time, or a told wait" if self._list.ready(owed.destination) else
-                              "no endpoint is ready")
+            if owed.found and not owed.sent:  # a restart found it, and nothing tried it
+                why = why or (
+                    "its time, or a told wait"
+                    if self._list.ready(owed.destination)
+                    else "no endpoint is ready"
+                )
                 self._untried[why] += 1
                 say(log, "given up with no call", logging.WARNING, doc=doc_id, reason=why)
             self._count(owed.id, owed.type, result == "dead")
@@ -451,11 +515,18 @@
         types += sorted({name for name, _ in self._counted if name not in types})
         out = self._by_hand.out
         avoided = sum(name in self._list.entries for name in out) + sum(
-            name not in out for name in self._core.avoided())
+            name not in out for name in self._core.avoided()
+        )
         held = len(self._overflow or ()) + sum(owed.notice is None for owed in self._ledger.owed.values())
-        return Figures({name: tuple(self._counted[name, at] for at in range(3)) for name in types},
-                       self._calls.transmitted, held, len(self._list.entries), avoided, tuple(self._reloads),
-                       self._witness.figures() if self._witness else [])
+        return Figures(
+            {name: tuple(self._counted[name, at] for at in range(3)) for name in types},
+            self._calls.transmitted,
+            held,
+            len(self._list.entries),
+            avoided,
+            tuple(self._reloads),
+            self._witness.figures() if self._witness else [],
+        )
 
     def _by_hand_now(self, endpoint: str, out: bool) -> Answer:
         entry = self._list.entries.get(endpoint)
@@ -476,7 +547,7 @@
         ids, connections and what was told and learnt stay; what shrinks holds for what comes next."""
         try:
             fresh = fitted(load(again=True), self._machine.descriptors())
-            self._turn()                        # what came before is taken on under the old settings
+            self._turn()  # what came before is taken on under the old settings
             held = {owed.type for owed in self._ledger.owed.values() if owed.notice is None}
             fits(fresh, self._config, held, self._list.last_kind())
         except ConfigError as problem:
@@ -493,8 +564,13 @@
             self._happened(self._core.adopt, fresh.settings)
         self._watch.move(fresh.discovery, fresh.kinds)
         self._notices.move(fresh.discovery)
-        say(log, "configuration taken over", discovery="{}:{}".format(*fresh.discovery),
-            settings=",".join(changed) or "unchanged", needs_restart=",".join(waits) or "nothing")
+        say(
+            log,
+            "configuration taken over",
+            discovery="{}:{}".format(*fresh.discovery),
+            settings=",".join(changed) or "unchanged",
+            needs_restart=",".join(waits) or "nothing",
+        )
 
     def close(self) -> None:
         """SIGTERM: takes no more, answers what comes, finishes what it can, leaves the rest in the ledger."""
@@ -513,13 +589,20 @@
         if self._handing or not self._holds:
             busy = len(self._calls) or len(self._front)
         else:
-            busy = self._front.busy() or (self._ledger.owed if past < CALL_S else
-                                          len(self._calls) or len(self._notices))
+            busy = self._front.busy() or (
+                self._ledger.owed if past < CALL_S else len(self._calls) or len(self._notices)
+            )
         if busy and past < END_S:
             self._loop.call_later(0.05, self._maybe_over)
             return
-        say(log, "closed", owed=len(self._ledger.owed), out=len(self._calls), broken=dict(broken),
-            untried=dict(self._untried))
+        say(
+            log,
+            "closed",
+            owed=len(self._ledger.owed),
+            out=len(self._calls),
+            broken=dict(broken),
+            untried=dict(self._untried),
+        )
         self._watch.stop()
         self._calls.close()
         for each in filter(None, (self._overflow, self._door)):
--- a/birchstack/state.py
+++ b/birchstack/state.py
@@ -8,8 +8,8 @@
 from birchstack import interface as our
 from birchstack.interface import BINDING, NUMBERED
 
-SPARE = 64      # lines of keys kept beyond twice those in use
-MARK = 6        # letters that stand for an endpoint in notes
+SPARE = 64  # lines of keys kept beyond twice those in use
+MARK = 6  # letters that stand for an endpoint in notes
 
 
 def mark(name: str) -> str:
@@ -101,31 +101,39 @@
 
     def __init__(self, ep, now: float, idle_ms: float) -> None:
         self.ep, self.sent_at, self.idle_ms, self.trial = ep, now, idle_ms, ep.ill
-        self.left_at = now              # when it was written, where that comes later
-        self.docs, self.heard = 0, False    # documents without an outcome; whether one had its outcome
+        self.left_at = now  # when it was written, where that comes later
+        self.docs, self.heard = 0, False  # documents without an outcome; whether one had its outcome
 
 
 class Document:
-    def __init__(self, doc_id: str, kind: our.DocumentType, destination, now: float,
-                 left_ms: float, order: int, past: our.Past) -> None:
+    def __init__(
+        self,
+        doc_id: str,
+        kind: our.DocumentType,
+        destination,
+        now: float,
+        left_ms: float,
+        order: int,
+        past: our.Past,
+    ) -> None:
         self.id, self.kind, self.destination, self.order = doc_id, kind, destination, order
         self.expiry = now + left_ms
-        self.taken = self.expiry - kind.expiry_ms   # when the client first handed it in
-        self.ready_at, self.out = now, None     # end of its pause; the call that it is out with
-        self.found = past is not our.NO_PAST    # taken on before a restart
+        self.taken = self.expiry - kind.expiry_ms  # when the client first handed it in
+        self.ready_at, self.out = now, None  # end of its pause; the call that it is out with
+        self.found = past is not our.NO_PAST  # taken on before a restart
         self.sent, self.repeats = past.sent, 0  # transmissions, and those that the bucket paid for
-        self.doubt = [*past.doubt]      # transmissions that may have run: time and zone
+        self.doubt = [*past.doubt]  # transmissions that may have run: time and zone
         self.over, self.keyline, self.path = False, None, None
-        self.back_ms = float("inf")     # when it may come again, where it is rejected for want of a place
-        self.worth = 1.0                # of its type's value: less where its tenant sends beyond its share
+        self.back_ms = float("inf")  # when it may come again, where it is rejected for want of a place
+        self.worth = 1.0  # of its type's value: less where its tenant sends beyond its share
 
-    def fresh(self) -> bool:    # taken on by this process, and surely not run
+    def fresh(self) -> bool:  # taken on by this process, and surely not run
         return not self.found and not self.doubt
 
-    def lost(self) -> bool:     # it must not be transmitted again, nor handed in again
+    def lost(self) -> bool:  # it must not be transmitted again, nor handed in again
         return bool(self.doubt) and self.kind.effect == BINDING
 
-    def known_until(self) -> float:     # its endpoint drops repeats so long, where it may have run
+    def known_until(self) -> float:  # its endpoint drops repeats so long, where it may have run
         known = self.doubt and self.kind.effect == NUMBERED
         return self.doubt[0][0] + self.kind.window_ms if known else float("inf")
 
@@ -136,15 +144,15 @@
     def __init__(self, entry: our.Endpoint, number: int, now: float, norm: Average, word: Fading) -> None:
         self.name, self.zone, self.kind = entry.name, entry.zone, entry.kind
         self.number, self.state = number, our.READY
-        self.norm, self.word = norm, word   # failures lately, here and as told
-        self.note_at, self.trials = 0.0, 0          # when it may be told of again; trials out
-        self.route = None               # that it belongs to
-        self.calls: list[float] = []    # when each call that is out was sent
-        self.idle: list[float] = []     # since when each idle connection lies idle
-        self.streak, self.failed_at = 0, now    # failures in a row, and when they began
-        self.ill, self.failing, self.doubtful = False, 0.0, 0.0    # moving shares: failed, left in doubt
+        self.norm, self.word = norm, word  # failures lately, here and as told
+        self.note_at, self.trials = 0.0, 0  # when it may be told of again; trials out
+        self.route = None  # that it belongs to
+        self.calls: list[float] = []  # when each call that is out was sent
+        self.idle: list[float] = []  # since when each idle connection lies idle
+        self.streak, self.failed_at = 0, now  # failures in a row, and when they began
+        self.ill, self.failing, self.doubtful = False, 0.0, 0.0  # moving shares: failed, left in doubt
         self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
-        self.ok_at, self.back_at = -1.0, None   # when it last served, and answered again after an outage
+        self.ok_at, self.back_at = -1.0, None  # when it last served, and answered again after an outage
         self.call, self.blamed = None, 0.0  # made in this turn, others may join; idle time before a time-out
 
     def joinable(self) -> bool:
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -33,6 +33,7 @@
             await asyncio.sleep(0.1)
             writer.write(f"HTTP/1.1 {status} Toy\r\nContent-Length: 0\r\n\r\n".encode())
         writer.close()
+
     return serve
 
 
@@ -42,9 +43,19 @@
             print(f"notice: {came[2].decode().strip()}", flush=True)
             writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
             continue
-        targets = [{"uid": name, "endpoint": f"127.0.0.1:{port}", "az": "a", "model": "shop", "pod_group": 1,
-                    "state": "active", "capacity_hint": 1.0, "boot_ms": 0}
-                   for name, port in ENDPOINTS.items()]
+        targets = [
+            {
+                "uid": name,
+                "endpoint": f"127.0.0.1:{port}",
+                "az": "a",
+                "model": "shop",
+                "pod_group": 1,
+                "state": "active",
+                "capacity_hint": 1.0,
+                "boot_ms": 0,
+            }
+            for name, port in ENDPOINTS.items()
+        ]
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         line = json.dumps({"rev": 1, "all": True, "targets": targets}).encode() + b"\n"
         while not writer.is_closing():
@@ -60,5 +71,6 @@
     print("the toy platform is on 127.0.0.1:9000", flush=True)
     await server.serve_forever()
 
+
 if __name__ == "__main__":
     asyncio.run(main())
--- a/tests/backlog_kills.py
+++ b/tests/backlog_kills.py
@@ -43,8 +43,10 @@
 
 def child(path, seed):
     store, chance = opened(path), random.Random(seed)
-    files = {name: os.open(os.path.join(path, name), os.O_WRONLY | os.O_CREAT | os.O_APPEND)
-             for name in ("own", "taken", "begun")}
+    files = {
+        name: os.open(os.path.join(path, name), os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+        for name in ("own", "taken", "begun")
+    }
     number = max((int(words[1]) for words in lines(path, "begun")), default=0)
     print("ready", flush=True)
     while True:
@@ -73,7 +75,7 @@
         for each in range(kills):
             words = [sys.executable, "-m", "tests.backlog_kills", "--child", path, "--seed", str(seed + each)]
             process = subprocess.Popen(words, stdout=subprocess.PIPE)
-            process.stdout.readline()           # it holds the backlog
+            process.stdout.readline()  # it holds the backlog
             time.sleep(chance.random() * 0.06)
             process.send_signal(signal.SIGKILL)
             process.communicate()
@@ -86,13 +88,23 @@
         own = lines(path, "own")
         moved = [words[1] for words in own if words[0] == "m"] + found
         all_of_them = [words[1] for words in own] + found
-        order = sum(a > b for destination in range(DOWN)
-                    for there in [[int(each) for each in moved if int(each) % DOWN == destination]]
-                    for a, b in zip(there, there[1:], strict=False))
+        order = sum(
+            a > b
+            for destination in range(DOWN)
+            for there in [[int(each) for each in moved if int(each) % DOWN == destination]]
+            for a, b in zip(there, there[1:], strict=False)
+        )
         taken = {words[1] for words in lines(path, "taken")}
-        return {"kills": kills, "taken": len(taken), "lost": len(taken - {*all_of_them}), "rot": store.lost,
-                "twice": len(all_of_them) - len({*all_of_them}), "out of order": order,
-                "still there": len(found), "left": len(store)}
+        return {
+            "kills": kills,
+            "taken": len(taken),
+            "lost": len(taken - {*all_of_them}),
+            "rot": store.lost,
+            "twice": len(all_of_them) - len({*all_of_them}),
+            "out of order": order,
+            "still there": len(found),
+            "left": len(store),
+        }
 
 
 def main():
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -21,21 +21,39 @@
 from birchstack.ledger.records import Kept
 from examples.toy import message as read_message
 
-TYPES = tuple(our.DocumentType(name, effect, 2000.0, 20000.0, 1.0, 0.5, one_zone, 5000.0, in_order)
-              for name, effect, one_zone, in_order in [
-                  ("sync", our.REPLAYABLE, False, False), ("order", our.NUMBERED, False, False),
-                  ("zoned", our.NUMBERED, True, False), ("pay", our.BINDING, False, False),
-                  ("turn", our.REPLAYABLE, False, True)])
+TYPES = tuple(
+    our.DocumentType(name, effect, 2000.0, 20000.0, 1.0, 0.5, one_zone, 5000.0, in_order)
+    for name, effect, one_zone, in_order in [
+        ("sync", our.REPLAYABLE, False, False),
+        ("order", our.NUMBERED, False, False),
+        ("zoned", our.NUMBERED, True, False),
+        ("pay", our.BINDING, False, False),
+        ("turn", our.REPLAYABLE, False, True),
+    ]
+)
 
 
 class Story:
     """A host that writes down what the sender does; at() and the events move the clock in milliseconds."""
 
     def __init__(self, endpoints=("a",), **settings):
-        words = dict(types=TYPES, slots=8, max_held=50, max_transmissions=6, senders=2,
-                     calls_per_connection=1, per_call=(1,), routes_apart=(False,),
-                     rates_listed=False, list_on_request=False, notes=False,
-                     retry_after_ms=3000.0, cold_share=0.3, warm_up_ms=10000.0, key_rest_ms=1000.0)
+        words = dict(
+            types=TYPES,
+            slots=8,
+            max_held=50,
+            max_transmissions=6,
+            senders=2,
+            calls_per_connection=1,
+            per_call=(1,),
+            routes_apart=(False,),
+            rates_listed=False,
+            list_on_request=False,
+            notes=False,
+            retry_after_ms=3000.0,
+            cold_share=0.3,
+            warm_up_ms=10000.0,
+            key_rest_ms=1000.0,
+        )
         self.now, self.calls, self.said, self.alarms, self.logs, self.closed = 0.0, [], [], [], [], []
         self.told, self.come_back = [], {}
         self.number, self.ended, self.outcomes, self.patience = {}, set(), [], []
@@ -93,8 +111,9 @@
         over = kind == our.OK if over is None else over
         self.outcomes.append(doc_id)
         self.ended |= {doc_id} if over else set()
-        self.sender.outcome(self.now, doc_id, endpoint,
-                            our.Outcome(kind, self.number[doc_id], 100.0, over, **words))
+        self.sender.outcome(
+            self.now, doc_id, endpoint, our.Outcome(kind, self.number[doc_id], 100.0, over, **words)
+        )
         self.sender.turn(self.now)
 
     def at(self, now):
@@ -116,19 +135,44 @@
 # One real sender on loopback sockets: its endpoints, its platform and its clients are stand-ins
 
 SETTINGS = {
-    "domain": {"callsOut": 4}, "nInstances": 1, "registryMode": "pushed", "hostTypes": ["shop"],
-    "limits": {"connIdleMs": 10000.0, "dialTimeoutMs": 200.0, "maxOpen": 60, "maxRetryAfterMs": 3000.0,
-               "retryAfter": True, "sendCap": 6, "streamsPerConn": 1},
+    "domain": {"callsOut": 4},
+    "nInstances": 1,
+    "registryMode": "pushed",
+    "hostTypes": ["shop"],
+    "limits": {
+        "connIdleMs": 10000.0,
+        "dialTimeoutMs": 200.0,
+        "maxOpen": 60,
+        "maxRetryAfterMs": 3000.0,
+        "retryAfter": True,
+        "sendCap": 6,
+        "streamsPerConn": 1,
+    },
     "rules": {"answerSlackMs": 20.0, "coldFrom": 0.3, "warmUpMs": 1000.0},
-    "services": [{"name": name, "effect": effect, "objectiveMs": 2000.0, "deadlineMs": 20000.0,
-                  "importance": 1.0, "lateShare": 0.4}
-                 for name, effect in [("sync", "safe"), ("pay", "unsafe")]]}
+    "services": [
+        {
+            "name": name,
+            "effect": effect,
+            "objectiveMs": 2000.0,
+            "deadlineMs": 20000.0,
+            "importance": 1.0,
+            "lateShare": 0.4,
+        }
+        for name, effect in [("sync", "safe"), ("pay", "unsafe")]
+    ],
+}
 
 
 def config(folder, **changes):
     """What a sender is told at its start; a change names its key by the path to it."""
-    raw = {"name": "n1", "listen": "127.0.0.1:5000", "discovery": "127.0.0.2:8500", "seed": "8c1f",
-           "state": str(folder), "settings": copy.deepcopy(SETTINGS)}
+    raw = {
+        "name": "n1",
+        "listen": "127.0.0.1:5000",
+        "discovery": "127.0.0.2:8500",
+        "seed": "8c1f",
+        "state": str(folder),
+        "settings": copy.deepcopy(SETTINGS),
+    }
     for path, value in changes.items():
         *path, last = path.split("__")
         at = raw
@@ -158,9 +202,11 @@
 
     async def open(self):
         """heard: what each connection carries, up to its end or its first bytes."""
+
         async def serve(reader, writer):
             self.heard.append(await reader.read(65536))
             writer.close()
+
         filler, _ = self._door.accept()
         filler.close()
         self._filler.close()
@@ -172,14 +218,19 @@
 
 
 def answer(status, body=b"", **fields):
-    lines = [f"HTTP/1.1 {status} Said", f"Content-Length: {len(body)}",
-             *(f"{name.replace('_', '-')}: {value}" for name, value in fields.items())]
+    lines = [
+        f"HTTP/1.1 {status} Said",
+        f"Content-Length: {len(body)}",
+        *(f"{name.replace('_', '-')}: {value}" for name, value in fields.items()),
+    ]
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
 def post(doc_id="d1", kind="sync", left=5000, body=b"hello", dest=1, more=""):
-    return (f"POST /{kind} HTTP/1.1\r\nHost: api\r\nRequest-Id: {doc_id}\r\nRequest-Timeout-Ms: {left}\r\n"
-            f"Content-Length: {len(body)}\r\nX-Consignee: dest={dest}\r\n{more}\r\n").encode() + body
+    return (
+        f"POST /{kind} HTTP/1.1\r\nHost: api\r\nRequest-Id: {doc_id}\r\nRequest-Timeout-Ms: {left}\r\n"
+        f"Content-Length: {len(body)}\r\nX-Consignee: dest={dest}\r\n{more}\r\n"
+    ).encode() + body
 
 
 def free_port(ports=itertools.count(21000 + os.getpid() % 997 * 8)):  # noqa: B008
@@ -202,11 +253,13 @@
         self.ops, self.changes, self._environment = free_port(), changes or {}, environment or {}
         self.on_call = lambda: None
         self._limited = descriptors and (
-            lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
+            lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+        )
 
     async def __aenter__(self):
-        self._servers = [await asyncio.start_server(each, "127.0.0.1", 0)
-                         for each in (self._endpoint, self._platform)]
+        self._servers = [
+            await asyncio.start_server(each, "127.0.0.1", 0) for each in (self._endpoint, self._platform)
+        ]
         self.place, self.agent = (f"127.0.0.1:{each.sockets[0].getsockname()[1]}" for each in self._servers)
         await self.start()
         return self
@@ -218,15 +271,32 @@
             each.close()
 
     def entry(self, state="active", uid="s-1", place=None):
-        return {"uid": uid, "endpoint": place or self.place, "az": "a", "model": "shop", "pod_group": 1,
-                "state": state, "capacity_hint": 1.0, "boot_ms": 0}
+        return {
+            "uid": uid,
+            "endpoint": place or self.place,
+            "az": "a",
+            "model": "shop",
+            "pod_group": 1,
+            "state": state,
+            "capacity_hint": 1.0,
+            "boot_ms": 0,
+        }
 
     def configured(self, **changes):
         """Writes the sender's configuration file, and tells its path."""
         known = {"rev": 7, "all": True, "targets": [self.entry()] if self._known else []}
-        told = config(self.folder, **{
-            "listen": f"127.0.0.1:{self.port}", "known": known, "ops": f"127.0.0.1:{self.ops}",
-            "limits": self._limits, "discovery": self.agent, **self.changes, **changes})
+        told = config(
+            self.folder,
+            **{
+                "listen": f"127.0.0.1:{self.port}",
+                "known": known,
+                "ops": f"127.0.0.1:{self.ops}",
+                "limits": self._limits,
+                "discovery": self.agent,
+                **self.changes,
+                **changes,
+            },
+        )
         path = self.folder.parent / f"{self.folder.name}.json"
         path.write_text(json.dumps(told))
         return str(path)
@@ -241,8 +311,13 @@
     async def start(self):
         told = {**self._environment, "BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent}
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log(),
-            preexec_fn=self._limited)
+            sys.executable,
+            "-m",
+            "birchstack",
+            env={**os.environ, **told},
+            stderr=self._log(),
+            preexec_fn=self._limited,
+        )
         for _ in range(500):
             with contextlib.suppress(OSError):
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -257,10 +332,15 @@
         """Starts the sender once more beside the one that runs, as an upgrade does: same configuration and
         folder, another operators' door. Returns the process and that door's port once it says it is ready."""
         ops = free_port()
-        told = {**self._environment, "BALANCER_CONFIG": self.configured(), "BALANCER_DISCOVERY": self.agent,
-                "BALANCER_OPS": f"127.0.0.1:{ops}"}
+        told = {
+            **self._environment,
+            "BALANCER_CONFIG": self.configured(),
+            "BALANCER_DISCOVERY": self.agent,
+            "BALANCER_OPS": f"127.0.0.1:{ops}",
+        }
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log())
+            sys.executable, "-m", "birchstack", env={**os.environ, **told}, stderr=self._log()
+        )
         for _ in range(500):
             with contextlib.suppress(OSError):
                 if (await self.operator("GET", "/ready", ops))[0] == 200:
@@ -323,7 +403,7 @@
             self.most_out = max(self.out, self.most_out)
             if said == SILENT:
                 await reader.read()
-            elif isinstance(said, asyncio.Future):      # the story says when, and what
+            elif isinstance(said, asyncio.Future):  # the story says when, and what
                 writer.write(await said)
             elif said == RESET:
                 writer.transport.abort()
@@ -345,7 +425,7 @@
             self.asked.append(message[0])
             self.watchers.append(writer)
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            unchanged = {"rev": 7, "all": False, "targets": []}     # as an agent says where nothing changed
+            unchanged = {"rev": 7, "all": False, "targets": []}  # as an agent says where nothing changed
             for line in self.lines or ([unchanged] if "after=7 " in message[0] else []):
                 self.say(line)
 
@@ -362,6 +442,7 @@
         (folder / "state").mkdir()
         async with World(folder / "state", **words) as world:
             await asyncio.wait_for(story(world), 20.0)
+
     asyncio.run(whole())
 
 
--- a/tests/fleet_mutants.py
+++ b/tests/fleet_mutants.py
@@ -24,9 +24,11 @@
 
 def mutant(name, kinds=KINDS, hot=None):
     """kinds, hot: of the days that are drawn, where the fault shows only in rare ones."""
+
     def keep(function):
         MUTANTS[name] = function, kinds, hot
         return function
+
     return keep
 
 
@@ -38,6 +40,7 @@
         late, self.late = getattr(self, "late", None), (calls, refused, failed)
         if late:
             old(self, *late)
+
     patch.set(witness.Keeping, "turn", turn)
 
 
@@ -52,6 +55,7 @@
         self._versions["list"] = words[0]
         if late:
             old(self, *late[0], **late[1])
+
     patch.set(witness.Keeping, "_adopt", adopt)
 
 
@@ -69,14 +73,18 @@
         if self.last % 40 == 39:
             return records.frame(self.last, self.chain, record)
         return old(self, record)
+
     patch.set(trail.Trail, "frame", frame)
 
 
 @mutant("a gap is hidden")
 def _(patch):
     old = shelf.Shelf._keep
-    patch.set(shelf.Shelf, "_keep",
-              lambda self, record: True if isinstance(record, records.Gap) else old(self, record))
+    patch.set(
+        shelf.Shelf,
+        "_keep",
+        lambda self, record: True if isinstance(record, records.Gap) else old(self, record),
+    )
 
 
 @mutant("a sender that is losing records passes for complete", ("disk full",))
@@ -85,6 +93,7 @@
 
     def take(self, at, piece, *words):
         return old(self, at, msgspec.structs.replace(piece, failing=False), *words)
+
     patch.set(store.Store, "take", take)
     patch.set(shelf.Shelf, "retry", never)
 
@@ -93,14 +102,18 @@
 def _(patch):
     def add(self, more):
         self.tallies, self.to_ms = more.tallies, more.to_ms
+
     patch.set(trail.Sums, "add", add)
 
 
 @mutant("what is folded is taken without saying so", ("keeper cut", "keeper killed"), True)
 def _(patch):
     old = store.Store._gap
-    patch.set(store.Store, "_gap", lambda self, place, gap, now_ms, totals=False: (
-        None if totals else old(self, place, gap, now_ms)))
+    patch.set(
+        store.Store,
+        "_gap",
+        lambda self, place, gap, now_ms, totals=False: None if totals else old(self, place, gap, now_ms),
+    )
 
 
 @mutant("a keeper that is killed keeps its place and not its records")
@@ -111,6 +124,7 @@
         places = self.places
         self._clear()
         self.places = places
+
     patch.set(store.Store, "rollback", rollback)
 
 
@@ -121,10 +135,16 @@
     def write(self, record, now_ms):
         self._doubtful.clear()
         return old(self, record, now_ms)
+
     patch.set(shelf.Shelf, "write", write)
     gap = store.Store._gap
-    patch.set(store.Store, "_gap", lambda self, place, told, *words: (
-        None if "are not there" in told.why else gap(self, place, told, *words)))
+    patch.set(
+        store.Store,
+        "_gap",
+        lambda self, place, told, *words: (
+            None if "are not there" in told.why else gap(self, place, told, *words)
+        ),
+    )
 
 
 @mutant("a sender's clock is placed on the wrong side of the keeper's")
@@ -143,6 +163,7 @@
             return told
         more = [each for each in self._calls("c.endpoint=?", endpoint) if each.at_ms > told.out_ms]
         return msgspec.structs.replace(told, calls=more)
+
     patch.set(questions.Reader, "after", after)
 
 
@@ -153,6 +174,7 @@
     def other(self, place, piece, now_ms):
         old(self, place, piece, now_ms)
         place.lost = None
+
     patch.set(store.Store, "_other_trail", other)
 
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -81,6 +81,11 @@
         reds = listed(path.read_text(encoding="utf-8"))
     except ValueError as problem:
         raise pytest.UsageError(str(problem)) from problem
-    picked = config.option.file_or_dir or config.option.keyword or config.option.markexpr \
-        or config.option.deselect or config.option.ignore
+    picked = (
+        config.option.file_or_dir
+        or config.option.keyword
+        or config.option.markexpr
+        or config.option.deselect
+        or config.option.ignore
+    )
     config.pluginmanager.register(KnownRed(reds, not picked), "known-red")
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -24,12 +24,20 @@
 
 DAY = Scenario(seconds=25.0)
 TIGHT = msgspec.structs.replace(DAY, sender=SenderSide(slots=8, max_transmissions=4))
-KEYED = msgspec.structs.replace(DAY, types=(
-    DocumentType(name="sync", effect="replayable"),
-    DocumentType(name="turn", effect="replayable", in_order=True, keys=4)))
-BRIEF = msgspec.structs.replace(DAY, types=(
-    DocumentType(name="sync", effect="replayable"),
-    DocumentType(name="stock", effect="numbered", window_ms=1000.0)))
+KEYED = msgspec.structs.replace(
+    DAY,
+    types=(
+        DocumentType(name="sync", effect="replayable"),
+        DocumentType(name="turn", effect="replayable", in_order=True, keys=4),
+    ),
+)
+BRIEF = msgspec.structs.replace(
+    DAY,
+    types=(
+        DocumentType(name="sync", effect="replayable"),
+        DocumentType(name="stock", effect="numbered", window_ms=1000.0),
+    ),
+)
 MANY = msgspec.structs.replace(DAY, senders=10, destinations=(Group(count=3, endpoints=10),))
 MUTANTS = {}
 
@@ -53,6 +61,7 @@
     def keep(function):
         MUTANTS[name] = function, base, kinds
         return function
+
     return keep
 
 
@@ -68,6 +77,7 @@
         for handed in self._fresh.values():
             handed.reply(front.TAKEN)
         old(self, now)
+
     patch.set(sender.Node, "_settle", settle)
 
 
@@ -89,6 +99,7 @@
     def timed_out(self):
         self.close = never
         old(self)
+
     patch.set(calls.Line, "_timed_out", timed_out)
 
 
@@ -135,6 +146,7 @@
 
     def document(self, now, doc_id, destination, type_name, left_ms, key, past=our.NO_PAST, tenant=None):
         old(self, now, doc_id, destination, type_name, left_ms * 3.0, key, past, tenant)
+
     patch.set(decide.Sender, "document", document)
     patch.set(sender.Node, "_look_for_overdue", never)
 
@@ -146,6 +158,7 @@
     def write(self):
         self._call.body = self._call.body[:-1]
         old(self)
+
     patch.set(calls.Line, "write", write)
 
 
@@ -156,6 +169,7 @@
     def transmit(self, doc_id, endpoint, patience_ms):
         count[0] += 1
         old(self, doc_id, next(iter(self._calls.addresses)) if count[0] % 100 == 0 else endpoint, patience_ms)
+
     patch.set(sender.Node, "transmit", transmit)
 
 
@@ -163,6 +177,7 @@
 def _(patch):
     def call(self, owed, zone, when):
         owed.sent, owed.out = owed.sent + 1, (zone, when)
+
     patch.set(ledger.Ledger, "call", call)
 
 
@@ -174,6 +189,7 @@
         old(self)
         for doc_id in [*self.owed][::2]:
             del self.owed[doc_id]
+
     patch.set(ledger.Ledger, "_recover", recover)
 
 
@@ -185,6 +201,7 @@
         old(self)
         for owed in self.owed.values():
             owed.doubt, owed.out = [], None
+
     patch.set(ledger.Ledger, "_recover", recover)
 
 
@@ -207,6 +224,7 @@
         route.ramp = ep.__dict__.setdefault("ramp", state.Meter(now))
         route.ramp.credit = 1.0 if now - (ep.back_at or 0.0) < 100.0 else route.ramp.credit
         return old(self, now, dest, route, ep)
+
     patch.set(decide.Sender, "_ramped", ramped)
 
 
@@ -220,11 +238,11 @@
             return old(self, *words)
         finally:
             self._set = told
+
     patch.set(decide.Sender, "_ramped", ramped)
 
 
-@mutant("what a route's endpoints failed together makes none of them ill, and none cold", MANY,
-        ("refusing",))
+@mutant("what a route's endpoints failed together makes none of them ill, and none cold", MANY, ("refusing",))
 def _(patch):
     patch.set(decide.Route, "row", property(lambda self: 0, never))
 
@@ -244,6 +262,7 @@
     def finish(self, doc):
         self._host.reject(doc.id, 1000.0)
         self._end(doc)
+
     patch.set(decide.Sender, "_finish", finish)
 
 
@@ -253,6 +272,7 @@
 
     def reply(self, *words, **more):
         self._client._front._loop.call_later(0.5, functools.partial(old, self, *words, **more))
+
     patch.set(front.Handed, "reply", reply)
 
 
@@ -269,8 +289,15 @@
     old = settings.decode
 
     def decode(words):
-        return our.Settings(**{name: getattr(old(words), name) for name in our.Settings.__slots__
-                               if name != "max_transmissions"}, max_transmissions=99)
+        return our.Settings(
+            **{
+                name: getattr(old(words), name)
+                for name in our.Settings.__slots__
+                if name != "max_transmissions"
+            },
+            max_transmissions=99,
+        )
+
     patch.set(settings, "decode", decode)
 
 
@@ -289,6 +316,7 @@
         if count[0] % 300 == 0:
             raise ZeroDivisionError
         old(self, *words)
+
     patch.set(decide.Sender, "_learn", learn)
 
 
@@ -299,6 +327,7 @@
     def owe(self, doc_id, result, wait_ms):
         old(self, doc_id, result, wait_ms)
         self._loop.call_later(1.0, self._notices.tell, doc_id, "dead", 0.0)
+
     patch.set(sender.Node, "_owe_notice", owe)
 
 
@@ -321,6 +350,7 @@
     def note_call(self, owed, zone, when):
         with contextlib.suppress(OSError):
             call(self, owed, zone, when)
+
     patch.set(ledger.Ledger, "take", take)
     patch.set(ledger.Ledger, "call", note_call)
 
@@ -356,8 +386,10 @@
             drawn = "all kinds" if kinds == KINDS else ", ".join(kinds)
             print(f"| {name} | {drawn} | {days or 'NOT FOUND'} | {', '.join(rules)} |", flush=True)
         days, rules = clean.result()
-    print(f"\n{len(names) - missed} of {len(names)} found within {told.seeds} days; without a fault: "
-          + (f"BROKEN on day {days}: {rules}" if days else "no rule broken on the same days"))
+    print(
+        f"\n{len(names) - missed} of {len(names)} found within {told.seeds} days; without a fault: "
+        + (f"BROKEN on day {days}: {rules}" if days else "no rule broken on the same days")
+    )
     return 1 if missed or days else 0
 
 
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -23,8 +23,12 @@
         self.disk, self.now, self.number = Disk(), 0.0, 0
         self.store, self.model = opened(self.disk), model.Backlog()
 
-    @rule(destination=some.integers(0, 3), far=some.sampled_from([1.0, 5.0, 50.0, 1e5]),
-          size=some.sampled_from([0, 30, 900]), many=some.integers(1, 8))
+    @rule(
+        destination=some.integers(0, 3),
+        far=some.sampled_from([1.0, 5.0, 50.0, 1e5]),
+        size=some.sampled_from([0, 30, 900]),
+        many=some.integers(1, 8),
+    )
     def append(self, destination, far, size, many):
         for _ in range(many):
             self.number += 1
@@ -33,16 +37,20 @@
             self.store.append(one)
             self.model.append(one)
 
-    @rule(destination=some.integers(0, 3), most=some.integers(1, 9), count=some.integers(0, 9),
-          end=some.booleans())
+    @rule(
+        destination=some.integers(0, 3),
+        most=some.integers(1, 9),
+        count=some.integers(0, 9),
+        end=some.booleans(),
+    )
     def drain(self, destination, most, count, end):
-        for _ in range(200):                # what is past is passed over a little at a time
+        for _ in range(200):  # what is past is passed over a little at a time
             got = self.store.read(destination, most)
             if got or not self.store.waiting(destination)[0]:
                 break
         want = self.model.read(destination, most)
-        assert got == want[:len(got)] and (got or not want)
-        if end and got:                     # its type is gone, say
+        assert got == want[: len(got)] and (got or not want)
+        if end and got:  # its type is gone, say
             self.store.ended([got[0].id])
             self.model.ended([got[0].id])
         count = min(count, len(got))
@@ -95,7 +103,7 @@
                 got, want = self.store.waiting(destination), self.model.waiting(destination)
                 if got == want:
                     break
-                assert got[0] == want[0] and got[1] < want[1]       # a little is passed over each time
+                assert got[0] == want[0] and got[1] < want[1]  # a little is passed over each time
             assert got == want
         assert {*self.store.destinations()} == {*self.model.destinations()}
         assert self.store.next_due() <= self.model.next_due()
@@ -103,8 +111,9 @@
             assert self.store.holds(f"d{number}") == self.model.holds(f"d{number}")
 
 
-Story.TestCase.settings = profile(max_examples=120, stateful_step_count=40, deadline=None, derandomize=True,
-                                  database=None)
+Story.TestCase.settings = profile(
+    max_examples=120, stateful_step_count=40, deadline=None, derandomize=True, database=None
+)
 TestStory = Story.TestCase
 
 
@@ -114,8 +123,12 @@
     sizes = Sizes(sealed=20_000, flushed=100, unmarked=50_000, fan=3)
     store = Backlog(Folder(str(tmp_path)), ROOM, 0.0, sizes)
     for number in range(1500):
-        one = kept(number, chance.randrange(7) ** 2, 10.0 + number + chance.choice([20.0, 900.0, 1e6]),
-                   bytes(chance.randrange(300)))
+        one = kept(
+            number,
+            chance.randrange(7) ** 2,
+            10.0 + number + chance.choice([20.0, 900.0, 1e6]),
+            bytes(chance.randrange(300)),
+        )
         store.append(one)
         plain.append(one)
         if chance.random() < 0.1:
--- a/tests/test_backlog_bounds.py
+++ b/tests/test_backlog_bounds.py
@@ -39,7 +39,7 @@
             sizes.append(tracemalloc.get_traced_memory()[0])
     finally:
         tracemalloc.stop()
-    filters = sum(bloom.size_in_bits / 8 for bloom in store._index._filters.values())   # not Python's own
+    filters = sum(bloom.size_in_bits / 8 for bloom in store._index._filters.values())  # not Python's own
     assert len(store) == 28_000
     assert (sizes[1] - sizes[0]) / 20_000 + filters / 28_000 < 8
 
@@ -77,11 +77,11 @@
     for count, body in ((4000, 100), (16_000, 100), (16_000, 1000)):
         folder, owed, store = started(count, 20, body)
         runs = store._index.runs.values()
-        assert folder.bytes["segments"] < SIZES.flushed * (body + 100) < owed / 10      # what no mark covers
+        assert folder.bytes["segments"] < SIZES.flushed * (body + 100) < owed / 10  # what no mark covers
         assert folder.bytes["ids"] == sum(run.size - run.bits for run in runs) < 3 * count
         assert folder.bytes["times"] <= sum((run.pages.bit_length() + 2) * PAGE for run in runs)
         read.append(folder.bytes["manifest"])
-    assert max(read) < 400_000              # its log, up to a snapshot, and the snapshot
+    assert max(read) < 400_000  # its log, up to a snapshot, and the snapshot
 
 
 def test_a_destination_more_costs_a_tail_and_not_a_file_that_is_read():
@@ -97,7 +97,7 @@
         store.append(kept(number, 0 if chance.random() < 0.9 else 1 + number % 9, body=b"b" * 100))
         store.step()
     assert store.waiting(0)[0] > 2600 and len([*store.destinations()]) == 10
-    for destination in [*store.destinations()]:     # all return
+    for destination in [*store.destinations()]:  # all return
         while store.waiting(destination)[0]:
             got = store.read(destination, 64)
             assert got and [each.taken for each in got] == sorted(each.taken for each in got)
@@ -115,13 +115,14 @@
     def append(handle, data):
         most[-1] += len(data)
         return plain(handle, data)
+
     folder.append = append
     store = Backlog(folder, ROOM, 0.0, SIZES._replace(fan=2))
     for number in range(20_000):
         store.append(kept(number, number % 5, 1e6, b""))
         most.append(0)
         store.step()
-    assert max(most) < 160_000              # a piece of a run, or the filter of one
+    assert max(most) < 160_000  # a piece of a run, or the filter of one
 
 
 def run(number, count):
@@ -160,9 +161,14 @@
     example = load(str(Path(__file__).parent.parent / "deploy" / "backlog.toml"))
     assert example.window >= 1 and example.bytes >= 16 << 20
     room = "bytes = 99999999"
-    for text, problem in [("", "backlog"), (f"[backlog]\nwindow = 0\n{room}", "window"),
-                          ("[backlog]\nwindow = 9\nbytes = 1", "bytes"), ("[backlog]\nwindow = 9", "bytes"),
-                          (f"[backlog]\nwindow = 9\n{room}\nrooms = 1", "rooms"), ("[x", "")]:
+    for text, problem in [
+        ("", "backlog"),
+        (f"[backlog]\nwindow = 0\n{room}", "window"),
+        ("[backlog]\nwindow = 9\nbytes = 1", "bytes"),
+        ("[backlog]\nwindow = 9", "bytes"),
+        (f"[backlog]\nwindow = 9\n{room}\nrooms = 1", "rooms"),
+        ("[x", ""),
+    ]:
         with pytest.raises(ConfigError, match=f"^BALANCER_BACKLOG: x.toml: .*{problem}"):
             decode(text.encode(), "x.toml")
     with pytest.raises(ConfigError, match="BALANCER_BACKLOG.*missing"):
--- a/tests/test_backlog_crash.py
+++ b/tests/test_backlog_crash.py
@@ -38,8 +38,13 @@
             self.now += 1.0
             for part in range(self.chance.randrange(4)):
                 far = self.chance.choice([7.0, 60.0, 1e5])
-                one = kept(f"{number}-{part}", self.chance.choice([1, 1, 1, 2, 3]), self.now + far,
-                           b"x" * self.chance.choice([0, 20, 400]), self.now)
+                one = kept(
+                    f"{number}-{part}",
+                    self.chance.choice([1, 1, 1, 2, 3]),
+                    self.now + far,
+                    b"x" * self.chance.choice([0, 20, 400]),
+                    self.now,
+                )
                 self.maybe = one
                 self.store.append(one)
                 self.owed[one.id], self.maybe = one, None
@@ -47,7 +52,7 @@
                 destination = self.chance.randrange(1, 4)
                 got = self.store.read(destination, 12)
                 there = [each for each in self.owed.values() if each.destination == destination]
-                assert got == there[:len(got)]
+                assert got == there[: len(got)]
                 self.to_own(got[:8])
                 self.store.moved(destination, len(got[:8]))
             if self.chance.random() < 0.3:
@@ -74,8 +79,9 @@
                 found += [each.id for each in some]
                 store.ended([each.id for each in some])
             assert sorted(found) == sorted(want)
-            assert found == [each.id for each in sorted(want.values(), key=lambda each: each.expiry)] or \
-                sorted(want[each].expiry for each in found) == [want[each].expiry for each in found]
+            assert found == [
+                each.id for each in sorted(want.values(), key=lambda each: each.expiry)
+            ] or sorted(want[each].expiry for each in found) == [want[each].expiry for each in found]
         else:
             for destination in [*store.destinations()]:
                 found = []
@@ -123,12 +129,12 @@
     def told(self, name, data):
         self.changes += 1
         self.snapshots += data == b"" and name.startswith(MANIFEST)
-        for how in (0, 1, 2) if data else (0,):     # the end after a change is the one before the next
+        for how in (0, 1, 2) if data else (0,):  # the end after a change is the one before the next
             if how == 2 and len(data) < 2:
                 continue
             files = {each: bytearray(text) for each, text in self.day.disk.files.items()}
             if how:
-                files[name].extend(data[:len(data) // 2 if how == 1 else len(data) - 1])
+                files[name].extend(data[: len(data) // 2 if how == 1 else len(data) - 1])
             self.ended(files, by_time=(self.changes + how) % 2 == 0)
 
     def ended(self, files, by_time):
@@ -168,8 +174,10 @@
 
 
 def segments(disk, destination):
-    return sorted((name for name in disk.files if name.startswith(f"backlog-{destination}-")),
-                  key=lambda name: int(name.split("-")[2]))
+    return sorted(
+        (name for name in disk.files if name.startswith(f"backlog-{destination}-")),
+        key=lambda name: int(name.split("-")[2]),
+    )
 
 
 @pytest.mark.parametrize("cut", [1, 9, 60])
@@ -178,7 +186,7 @@
     del disk.files[segments(disk, 0)[-1]][-cut:]
     store = opened(disk, SIZES)
     store.append(kept("new", 0))
-    store = opened(disk, SIZES)                 # the segment that is torn was not written on
+    store = opened(disk, SIZES)  # the segment that is torn was not written on
     found = [each for each in drained(store) if each == "dnew" or int(each[1:]) % 3 == 0]
     assert found == [*(f"d{number}" for number in range(0, 117, 3)), "dnew"]
     assert not [each for each in caplog.records if each.msg == "rot in the backlog"]
@@ -216,15 +224,17 @@
 @pytest.mark.parametrize("how", ["a page", "the file", "its filter"])
 def test_an_index_that_is_lost_is_made_anew_from_the_segments(kind, how, caplog):
     disk, _ = filled()
-    name = max((name for name in disk.files if name.startswith(f"backlog-{kind}")),
-               key=lambda name: len(disk.files[name]))
+    name = max(
+        (name for name in disk.files if name.startswith(f"backlog-{kind}")),
+        key=lambda name: len(disk.files[name]),
+    )
     if how == "the file":
         del disk.files[name]
     else:
         disk.files[name][-5 if how == "its filter" else HEAD.size + 25] ^= 1
     copy = Disk()
     copy.files = {each: bytearray(data) for each, data in disk.files.items()}
-    store = opened(copy, SIZES)                 # what the sender's own ledger has goes, whatever is lost
+    store = opened(copy, SIZES)  # what the sender's own ledger has goes, whatever is lost
     store.drop(f"d{number}" for number in range(0, 120, 4))
     assert len(store) == 90 and sorted(drained(store)) == sorted(f"d{n}" for n in range(120) if n % 4)
     store = opened(disk, SIZES)
@@ -232,10 +242,10 @@
         store.holds(f"d{number}")
     for _ in range(3):
         store.step()
-    store = opened(disk, SIZES)                 # a kill while it is made anew
-    gone = [each.id for each in store.due(1e9, 5)]      # not all that are due before them, for now
+    store = opened(disk, SIZES)  # a kill while it is made anew
+    gone = [each.id for each in store.due(1e9, 5)]  # not all that are due before them, for now
     store.ended(gone)
-    for number in range(120):                   # may be missed until it is there again
+    for number in range(120):  # may be missed until it is there again
         store.holds(f"d{number}")
     settle(store)
     assert all(store.holds(f"d{number}") for number in range(120) if f"d{number}" not in gone)
@@ -244,7 +254,7 @@
         some = [each.id for each in store.due(1e9, 9)]
         found += some
         store.ended(some)
-        settle(store)                       # where a page is met that does not check
+        settle(store)  # where a page is met that does not check
     assert sorted(found) == sorted(f"d{number}" for number in range(120)) and not store.lost
 
 
@@ -269,17 +279,17 @@
     for _ in range(40):
         store.step()
     gone = []
-    for _ in range(4):                          # ends and moves, in the room that was kept for them
+    for _ in range(4):  # ends and moves, in the room that was kept for them
         some = [each.id for each in store.due(1e9, 3)]
         store.ended(some)
         moved = store.read(1, 3)
         store.moved(1, len(moved))
         gone += [*some, *(each.id for each in moved)]
-    store = opened(disk, SIZES)                 # as after a kill
+    store = opened(disk, SIZES)  # as after a kill
     assert len(store) == taken - len(gone) and not any(map(store.holds, gone)) and not store.lost
     assert {*drained(store)} | {*gone} == {f"d{number}" for number in range(taken)}
     settle(store)
-    store.append(kept("room", 0))               # there is room again
+    store.append(kept("room", 0))  # there is room again
     assert store.holds("droom")
 
 
@@ -323,7 +333,7 @@
     assert store.read(7, 1)[0].body == bytes(range(256)) * 256 and store.waiting(7)[0] == 1
     gone = [each.id for each in store.due(2000.0, 99)]
     store.ended(gone)
-    store.append(kept("late", 8, 3.0))          # before what is known to be past: comes next, and is not lost
+    store.append(kept("late", 8, 3.0))  # before what is known to be past: comes next, and is not lost
     assert store.holds("dlate") and [each.id for each in store.read(8, 1)] == ["dlate"]
     assert [each.id for each in store.due(2000.1, 9)] == ["dlate"]
     with pytest.raises(OSError):
@@ -333,6 +343,6 @@
 
 
 def test_real_processes_that_are_killed_lose_nothing_and_move_nothing_twice():
-    told = backlog_kills.play(6, seed=1)        # more of them: python -m tests.backlog_kills
+    told = backlog_kills.play(6, seed=1)  # more of them: python -m tests.backlog_kills
     assert told["taken"] > 20
     assert not any(told[name] for name in ("lost", "rot", "twice", "out of order", "left"))
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -13,7 +13,7 @@
 
     def write(self, data):
         self.written += data
-        return True                             # the kernel took it
+        return True  # the kernel took it
 
     def abort(self):
         self.closed = True
@@ -80,11 +80,17 @@
     assert desk.ends == [(kind, False)]
 
 
-@pytest.mark.parametrize("text, ends, ok", [
-    (b"HTTP/1.1 200 OK\r\nServer-", ("ok", False), ["d"]), (b"HTTP/1.1 500 No\r\nX", ("reset", False), []),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal", ("ok", False), ["d"]), (b"", ("reset", False), []),
-    (b"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nhal", ("reset", False), []),
-    (b"HTTP/1.1 503 No\r\n\r\nto the end", ("full", False), [])])
+@pytest.mark.parametrize(
+    "text, ends, ok",
+    [
+        (b"HTTP/1.1 200 OK\r\nServer-", ("ok", False), ["d"]),
+        (b"HTTP/1.1 500 No\r\nX", ("reset", False), []),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal", ("ok", False), ["d"]),
+        (b"", ("reset", False), []),
+        (b"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nhal", ("reset", False), []),
+        (b"HTTP/1.1 503 No\r\n\r\nto the end", ("full", False), []),
+    ],
+)
 def test_an_answer_that_breaks_off(text, ends, ok):
     desk = Desk()
     line = line_with(Link(), desk)
@@ -93,24 +99,31 @@
     assert desk.ends == [ends] and desk.ok == ok
 
 
-@pytest.mark.parametrize("text, ends, ok", [
-    (b"\x90\x14noise", "error", []), (b"HTTP/1.1 503 No\r\nno colon\r\n\r\n", "error", []),
-    (b"HTTP/1.1 429 No\r\nContent-Length: -4\r\n\r\n", "error", []),
-    (b"HTTP/1.1 410 No\r\nContent-Length: 3000000000\r\n\r\nxxx", "error", []),
-    (b"HTTP/1.1 500 No\r\nX: " + b"y" * 20000, "error", []),
-    (b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "ok", ["d"]),
-    (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20000, "ok", ["d"]),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxx", "ok", ["d"]),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nabcd", "ok", ["d"]),
-    (b"HTTP/1.1 100 On\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "ok", ["d"])])
+@pytest.mark.parametrize(
+    "text, ends, ok",
+    [
+        (b"\x90\x14noise", "error", []),
+        (b"HTTP/1.1 503 No\r\nno colon\r\n\r\n", "error", []),
+        (b"HTTP/1.1 429 No\r\nContent-Length: -4\r\n\r\n", "error", []),
+        (b"HTTP/1.1 410 No\r\nContent-Length: 3000000000\r\n\r\nxxx", "error", []),
+        (b"HTTP/1.1 500 No\r\nX: " + b"y" * 20000, "error", []),
+        (b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "ok", ["d"]),
+        (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20000, "ok", ["d"]),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxx", "ok", ["d"]),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nabcd", "ok", ["d"]),
+        (b"HTTP/1.1 100 On\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "ok", ["d"]),
+    ],
+)
 def test_a_spoilt_answer_may_have_run_unless_its_first_line_says_200_and_its_connection_ends(text, ends, ok):
     desk = Desk()
     line_with(Link(), desk).received(memoryview(text))
     assert desk.ends == [(ends, False)] and desk.ok == ok
 
 
-@pytest.mark.parametrize("text, ends", [(b"HTTP/1.1 200 OK\r\nContent-Le", "ok"),
-                                        (b"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nab", "error")])
+@pytest.mark.parametrize(
+    "text, ends",
+    [(b"HTTP/1.1 200 OK\r\nContent-Le", "ok"), (b"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nab", "error")],
+)
 def test_an_answer_that_began_and_is_not_whole_in_time_is_spoilt_long_before_patience_is_over(text, ends):
     desk = Desk()
     line = line_with(Link(), desk)
@@ -121,13 +134,17 @@
     assert desk.ends == [(ends, False)]
 
 
-@pytest.mark.parametrize("text, keep", [
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", True),
-    (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", True),
-    (b"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", False),     # the decisions count it as gone
-    (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", False),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 2", False),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n\x90noise\r\n\r\n", False)])
+@pytest.mark.parametrize(
+    "text, keep",
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", True),
+        (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", True),
+        (b"HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", False),  # the decisions count it as gone
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", False),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 2", False),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n\x90noise\r\n\r\n", False),
+    ],
+)
 def test_a_connection_is_kept_only_if_it_can_be_used_and_is_counted_on(text, keep):
     desk = Desk()
     line = line_with(Link(), desk)
--- a/tests/test_capacity_fit.py
+++ b/tests/test_capacity_fit.py
@@ -25,7 +25,7 @@
 
 @pytest.mark.parametrize("power", [0.1, 0.4, 1.6, 2.0])
 def test_what_is_no_line_is_said_to_bend_and_with_what_exponent(power):
-    line = fit.line(POINTS, [x ** power for x in POINTS])
+    line = fit.line(POINTS, [x**power for x in POINTS])
     assert line.bend and line.growth == pytest.approx(power)
 
 
@@ -49,10 +49,10 @@
     told = json.loads(json.dumps(record.record("toy", {"memory": "bytes", "files": "files"}, rows, "cmd")))
     assert told["slope"] == "toy" and told["command"] == "cmd" and told["points"][0] == [1.0, rows[0][1]]
     assert told["lines"]["memory"]["slope"] == 2.0 and told["lines"]["memory"]["unit"] == "bytes"
-    assert "files" not in told["lines"] and told["units"]["files"] == "files"   # two points are no line
+    assert "files" not in told["lines"] and told["units"]["files"] == "files"  # two points are no line
     assert {"cpu", "cores", "memory_bytes", "python"} <= set(told["machine"])
     with pytest.raises(KeyError):
-        record.record("toy", {"memory": "bytes"}, rows, "cmd")      # a figure without its unit
+        record.record("toy", {"memory": "bytes"}, rows, "cmd")  # a figure without its unit
 
 
 def test_a_name_that_is_in_no_table_is_refused_before_anything_is_measured(capsys):
--- a/tests/test_capacity_fleet.py
+++ b/tests/test_capacity_fleet.py
@@ -21,7 +21,7 @@
 
 CHANGES = 5
 MEMORY_ERROR, TRAIL_ERROR = 0.15, 0.02  # of a real one's, that a hollow one's may be off by
-NO_BEATS = 60.0                         # how many come is a matter of time alone
+NO_BEATS = 60.0  # how many come is a matter of time alone
 
 
 class Told:
@@ -43,13 +43,14 @@
             await asyncio.sleep(0.01)
         told.counts.append(Counter(service.counts))
         told.listed.append(at)
+
     await start()
     await step(1)
     told.bytes.append(await memory())
     for uid in uids[:CHANGES]:
         version = service.publish(uid, "leaving")
     await step(version)
-    for uid in uids[:CHANGES - 1]:
+    for uid in uids[: CHANGES - 1]:
         version = service.publish(uid, "left")
     await step(version)
     asks = len(service.asks)
@@ -74,13 +75,19 @@
     async with service_of(listed) as service:
         state, ops = folder / f"state{listed}", fake.free_port()
         state.mkdir()
-        raw = site.sender("h1", f"127.0.0.1:{fake.free_port()}", f"127.0.0.1:{ops}", service.at, str(state),
-                          1, {}, 550)
+        raw = site.sender(
+            "h1", f"127.0.0.1:{fake.free_port()}", f"127.0.0.1:{ops}", service.at, str(state), 1, {}, 550
+        )
         (folder / "config.json").write_text(json.dumps(raw))
         (folder / "fleet.toml").write_text(site.FLEET)
         run = shell(sys.executable, "-m", "birchstack")
-        process = Process("h1", run, folder / f"run{listed}", Path.cwd(), {
-            "BALANCER_CONFIG": str(folder / "config.json"), "BALANCER_FLEET": str(folder / "fleet.toml")})
+        process = Process(
+            "h1",
+            run,
+            folder / f"run{listed}",
+            Path.cwd(),
+            {"BALANCER_CONFIG": str(folder / "config.json"), "BALANCER_FLEET": str(folder / "fleet.toml")},
+        )
 
         async def figures():
             reader, writer = await asyncio.open_connection("127.0.0.1", ops)
@@ -88,12 +95,16 @@
             text = (await reader.read()).decode()
             writer.close()
             found = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-            return (int(found["balancer.pool_size"]), int(found["balancer.list_number"]),
-                    found["balancer.list_digest"])
+            return (
+                int(found["balancer.pool_size"]),
+                int(found["balancer.list_number"]),
+                found["balancer.list_digest"],
+            )
 
         async def memory():
             with open(f"/proc/{process.process.pid}/statm", encoding="ascii") as file:
                 return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
         try:
             told = await story(service, process.start, figures, memory)
             told.trail = sum(each.stat().st_size for each in state.glob("trail-*"))
@@ -104,13 +115,15 @@
 
 async def hollow(listed):
     async with service_of(listed) as service, Hosts(service.at, 1, fleet=True) as hosts:
+
         async def figures():
-            ((entries, held, version, digest), many), = (await hosts.report())["listed"].items()
+            (((entries, held, version, digest), many),) = (await hosts.report())["listed"].items()
             assert entries == held and many == 1
             return entries, version, digest
 
         async def memory():
             return (await hosts.report(True))["bytes"]
+
         told = await story(service, lambda: hosts.start(1), figures, memory)
         told.trail = (await hosts.report())["trail"]
         return told
@@ -127,7 +140,8 @@
         assert one.counts == other.counts and one.counts[0]["bytes out"] > 160 * listed
         assert one.listed == other.listed
         assert [entries for entries, *_ in one.listed] == [listed, listed, listed - CHANGES + 1] + [
-            listed - CHANGES + 1]
+            listed - CHANGES + 1
+        ]
         assert other.trail == pytest.approx(one.trail, rel=TRAIL_ERROR) and one.trail > 1000
     grown = [(at[many][which].bytes[0] - at[few][which].bytes[0]) / (many - few) for which in range(2)]
     assert grown[1] == pytest.approx(grown[0], rel=MEMORY_ERROR)
@@ -137,8 +151,13 @@
     monkeypatch.setattr(lists, "SETTLE_S", 0.1)
     monkeypatch.setattr(lists, "BEAT_S", NO_BEATS)
     four, eight = (asyncio.run(lists.point(senders, 0.0, 2)) for senders in (4, 8))
-    for what in ("start: bytes", "start: messages", "change: bytes", "change: messages",
-                 "burst of 100: bytes"):
+    for what in (
+        "start: bytes",
+        "start: messages",
+        "change: bytes",
+        "change: messages",
+        "burst of 100: bytes",
+    ):
         assert eight[what] == 2 * four[what], what
     assert four["change: bytes"] < 4 * 300 and four["burst of 100: bytes"] < 4 * 100 * 300
     assert four["change: messages"] == 4 and four["start: messages"] == 8
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -11,10 +11,15 @@
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs/CAPACITY.md").read_text()
-OFF = 0.006                             # three figures are written of each number
+OFF = 0.006  # three figures are written of each number
 UNKNOWN = "not measured"
-DOES = {ast.Add: operator.add, ast.Sub: operator.sub, ast.Mult: operator.mul, ast.Div: operator.truediv,
-        ast.Pow: operator.pow}
+DOES = {
+    ast.Add: operator.add,
+    ast.Sub: operator.sub,
+    ast.Mult: operator.mul,
+    ast.Div: operator.truediv,
+    ast.Pow: operator.pow,
+}
 
 
 def table(*heads):
@@ -44,6 +49,7 @@
 
 def work_out(formula, words):
     """A formula of numbers, names, + - * / ** and min, max."""
+
     def one(node):
         if isinstance(node, ast.Constant) and isinstance(node.value, int | float):
             return node.value
@@ -54,6 +60,7 @@
         if isinstance(node, ast.Call) and node.func.id in ("min", "max"):
             return {"min": min, "max": max}[node.func.id](*map(one, node.args))
         raise ValueError(f"{formula}: {ast.dump(node)}")
+
     return one(ast.parse(formula.strip("`"), mode="eval").body)
 
 
@@ -67,7 +74,7 @@
     """`file; figure; slope` is a line's slope, `file; figure; from` where it begins, `file; figure; at N` a
     point, each followed by `; bends` where the line does. Tells the value, its error and whether it bends."""
     name, figure, how, *bends = told.split("; ")
-    name, _, down = name.partition("#")         # of several records in a file, the one with so many down
+    name, _, down = name.partition("#")  # of several records in a file, the one with so many down
     record = json.loads((ROOT / f"docs/capacity/{name}.json").read_text())
     if down:
         record = next(each for each in record if f", {down} " in each["slope"])
@@ -75,8 +82,11 @@
         there = (figures for x, figures in record["points"] if x == float(how[3:]))
         return next(figures[figure] for figures in there if figure in figures), None, bool(bends)
     line = record["lines"][figure]
-    return (line["slope"], line["error"], line["bend"]) if how == "slope" else (
-        line["intercept"], None, line["bend"])
+    return (
+        (line["slope"], line["error"], line["bend"])
+        if how == "slope"
+        else (line["intercept"], None, line["bend"])
+    )
 
 
 WORDS = TARGETS | {row["slope"].strip("`"): number(row["value"]) for row in SLOPES}
@@ -99,6 +109,7 @@
 
     def misses(part):
         return over(work_out(row["formula"], WORDS | {name: TARGETS[name] * part for name in names}), bound)
+
     if not misses(1.0):
         return 1.0
     low, high = 0.0, 1.0
@@ -122,13 +133,17 @@
 
 
 def test_the_walls_are_all_that_is_missed_the_smallest_first():
-    missed = {row["product"]: number(row["of the target"]) for row in PRODUCTS
-              if row["of the target"] not in ("met", "-", UNKNOWN)}
+    missed = {
+        row["product"]: number(row["of the target"])
+        for row in PRODUCTS
+        if row["of the target"] not in ("met", "-", UNKNOWN)
+    }
     assert [row["wall"] for row in WALLS] == sorted(missed, key=missed.get)
     assert [number(row["of the target"]) for row in WALLS] == sorted(missed.values())
 
 
-@pytest.mark.parametrize("row", [row for row in PRODUCTS if row["carried by"] != "missing"],
-                         ids=lambda row: row["product"])
+@pytest.mark.parametrize(
+    "row", [row for row in PRODUCTS if row["carried by"] != "missing"], ids=lambda row: row["product"]
+)
 def test_what_is_said_to_carry_a_product_is_there(row):
     assert all((ROOT / path).exists() for path in re.findall(r"`([\w/.]+)`", row["carried by"]))
--- a/tests/test_capacity_sender.py
+++ b/tests/test_capacity_sender.py
@@ -26,7 +26,8 @@
         "node: a list change": {FILL: 1, HOPELESS: 1, SPARES: 1, LIST: 1},
         "node: a look for the overdue": {},
         "node: an end untried": {},
-        "node: its figures": {"decide.py Sender.avoided": 1}},
+        "node: its figures": {"decide.py Sender.avoided": 1},
+    },
     "down": {
         "decisions: a document": {FILL: 1, HOPELESS: 1},
         "decisions: an outcome": {FILL: 1, HOPELESS: 1},
@@ -34,10 +35,12 @@
         "decisions: a list change": {FILL: 1, HOPELESS: 1},
         "decisions: an expiry": {FILL: 1, HOPELESS: 1},
         "decisions: no room": {FILL: 1, HOPELESS: 1, ROOM: 1},
-        "node: a document": {FILL: 1, HOPELESS: 1}},
+        "node: a document": {FILL: 1, HOPELESS: 1},
+    },
     "listed, 4.7% down": {
         "decisions: a document": {FILL: 1, HOPELESS: 1},
-        "decisions: an alarm": {FILL: 1, HOPELESS: 1}},
+        "decisions: an alarm": {FILL: 1, HOPELESS: 1},
+    },
     "owed": {
         "decisions: a document": {},
         "decisions: an outcome": {},
@@ -49,14 +52,26 @@
         "node: a list change": {HOPELESS: 1},
         "node: a look for the overdue": {"net/sender.py Node._look_for_overdue": 1},
         "node: an end untried": {},
-        "node: its figures": {"net/sender.py Node._figures": 1}},
+        "node: its figures": {"net/sender.py Node._figures": 1},
+    },
     "handed together": {
-        "node: documents": {"net/sender.py Node._take_on": 2, "net/sender.py Node._turn": 1,
-                            "net/sender.py Node._settle": 1, HOPELESS: 1}},
+        "node: documents": {
+            "net/sender.py Node._take_on": 2,
+            "net/sender.py Node._turn": 1,
+            "net/sender.py Node._settle": 1,
+            HOPELESS: 1,
+        }
+    },
     "notices": {"node: notices answered": {"net/notices.py Notices._send": 1}},
     "idle": {"node: a connection": {"net/calls.py Calls._newest": 1}},
-    "list": {"node: a list read": {"net/discovery.py Watch.received": 2, "net/discovery.py entries": 1,
-                                   "net/listed.py Listed.apply": 1, "net/sender.py Node._listed": 1}},
+    "list": {
+        "node: a list read": {
+            "net/discovery.py Watch.received": 2,
+            "net/discovery.py entries": 1,
+            "net/listed.py Listed.apply": 1,
+            "net/sender.py Node._listed": 1,
+        }
+    },
 }
 
 
@@ -84,7 +99,7 @@
 
 
 def bytes_each(make, points):
-    bytes_of(lambda: make(points[0]))           # what is made once only is there
+    bytes_of(lambda: make(points[0]))  # what is made once only is there
     line = fit.line(points, [bytes_of(lambda x=x: make(x)) for x in points])
     assert not line.bend and line.error < 0.05 * line.slope
     return line.slope
@@ -110,10 +125,11 @@
         told = b"".join(b"%x\r\n%s\r\n" % (len(line), line) for line in lines)
         whole = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + told
         for at in range(0, len(whole), 65536):
-            node._watch.received(memoryview(whole)[at:at + 65536])
-            if broke:                           # nothing more is read of it
+            node._watch.received(memoryview(whole)[at : at + 65536])
+            if broke:  # nothing more is read of it
                 break
         return len(got)
+
     targets = stand.whole_list(36_000, 1, ["127.0.7.1:23000"])
     one = stand.in_parts(targets, len(targets))
     assert 150.0 < len(one[0]) / len(targets) < 165.0 and len(one[0]) > MOST_LIST
@@ -129,6 +145,7 @@
 
 def test_connections_are_kept_for_some_destinations_and_not_for_many():
     """One client, one document at a time, round and round: the pool holds all, or never the next one."""
+
     async def opened(many):
         async with stand.Stand(many) as world:
             await world.start()
@@ -136,6 +153,7 @@
             await world.done()
             assert world.calls == 2 * many == world.answered[202]
             return world.opened
+
     assert asyncio.run(opened(20)) == 20
     assert asyncio.run(opened(520)) == 2 * 520
 
@@ -145,6 +163,7 @@
     assert set(measured) == {name for name in spread.FIGURES if not name.endswith(", all listed")}
     measured = asyncio.run(owed.point(60, 3, 0.1))
     assert {f"{name}, by documents owed" for name in measured} | {
-        f"{name}, by destinations down" for name in measured} == set(owed.FIGURES)
-    assert measured["files"] == 60 + 3          # a body each; the ledger, the clock and the lock
+        f"{name}, by destinations down" for name in measured
+    } == set(owed.FIGURES)
+    assert measured["files"] == 60 + 3  # a body each; the ledger, the clock and the lock
     assert 60 * 300 < measured["disk"] < 60 * 420
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -86,18 +86,20 @@
 def test_idle_clients_fill_the_descriptors_while_discovery_is_away(tmp_path):
     async def story(world):
         await world.until(lambda: world.watchers)
+
         async def second(reader, writer):
             while await read_message(reader):
                 at_second.append(time.monotonic())
                 writer.write(OK_200)
             writer.close()
+
         at_second = []
         server = await asyncio.start_server(second, "127.0.0.1", 0)
         place = "{}:{}".format(*server.sockets[0].getsockname())
         before = held(world.process)
         traffic = Traffic(world)
         platform, where = world._servers[1], world._servers[1].sockets[0].getsockname()
-        platform.close()                        # discovery is away: no watch, no notices, dials refused
+        platform.close()  # discovery is away: no watch, no notices, dials refused
         for writer in world.watchers:
             writer.transport.abort()
         crowd = Crowd(world, 300)
@@ -106,7 +108,7 @@
         world.answers = Answers(world, "lost")
         assert (await world.hand_in("lost", "pay"))[0] == 202
         await asyncio.sleep(0.7)
-        assert len(world.calls) > calls + 10 and crowd.let_go > 100     # endpoints are dialled and called
+        assert len(world.calls) > calls + 10 and crowd.let_go > 100  # endpoints are dialled and called
         assert not world.notices and '["notice","lost","dead"' in world.on_disk()
         world.lines = [{"rev": 8, "all": True, "targets": [world.entry(uid="s-2", place=place)]}]
         world._servers[1] = await asyncio.start_server(world._platform, *where)
@@ -120,18 +122,21 @@
         await traffic.end()
         assert set(traffic.said) == {202}
         assert await world.until(lambda: world.on_disk().count('["done","t') == len(traffic.said))
-        assert await world.until(lambda: held(world.process) <= before + 4)     # and as before when they left
+        assert await world.until(lambda: held(world.process) <= before + 4)  # and as before when they left
         many = [await world.client() for _ in range(20)]
         for number, (_, writer) in enumerate(many):
             writer.write(post(f"after{number}"))
         assert {(await read_message(reader))[0][9:12] for reader, _ in many} == {"202"}
         log = world.log()
         assert not any(word in log for word in ("system resource", "not noted", "not taken on", "not sent"))
-        print(f"acted on after {acted:.2f} s, the door's slowest answer {1000 * traffic.slowest:.0f} ms, "
-              f"descriptors {before} before, {traffic.most} of {LIMIT} at most, "
-              f"{len(traffic.said)} documents, {crowd.let_go} idle ones let go")
+        print(
+            f"acted on after {acted:.2f} s, the door's slowest answer {1000 * traffic.slowest:.0f} ms, "
+            f"descriptors {before} before, {traffic.most} of {LIMIT} at most, "
+            f"{len(traffic.said)} documents, {crowd.let_go} idle ones let go"
+        )
         assert acted < 6.0 and before + 12 <= RESERVE and traffic.most < LIMIT and traffic.slowest < 1.0
         server.close()
+
     play(tmp_path, story, descriptors=LIMIT)
 
 
@@ -139,13 +144,14 @@
     async def story(world):
         await world.until(lambda: world.watchers)
         idle = [await world.client() for _ in range(20)]
-        await world.operator("GET", "/ready")   # they are in
+        await world.operator("GET", "/ready")  # they are in
         hard = resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE)[1]
         resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE, (held(world.process), hard))
         assert (await asyncio.wait_for(world.hand_in("d1"), 1.0))[0] == 202
         assert await world.until(lambda: world.calls)
         assert await asyncio.wait_for(idle[0][0].read(), 1.0) == b""
         assert "no descriptor for a client" in world.log() and "system resource" not in world.log()
+
     play(tmp_path, story)
 
 
@@ -168,8 +174,9 @@
             door.bind(("127.0.0.1", 0))
             door.listen()
             loop = asyncio.get_running_loop()
-            listener = Listener(loop, door, lambda: came.append(1) or asyncio.Protocol(), 2,
-                                lambda: told.append(1))
+            listener = Listener(
+                loop, door, lambda: came.append(1) or asyncio.Protocol(), 2, lambda: told.append(1)
+            )
             clients = [socket.create_connection(door.getsockname()) for _ in range(9)]
             await asyncio.sleep(4.5 * PAUSE_S)
             assert 1 <= door.tried == len(told) <= 5 and not came
@@ -180,6 +187,7 @@
             listener.close()
             for each in clients:
                 each.close()
+
     asyncio.run(whole())
 
 
@@ -200,10 +208,11 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", world.ops)
             writer.write(b"GET /ready HTTP/1.1\r\nHost: ops\r\n\r\n")
             assert (await read_message(reader))[0][9:12] == "200"
-            rest.append(writer)                 # and does not go
+            rest.append(writer)  # and does not go
         room = shares(LIMIT, 4)
         assert held(world.process) <= before + room.callers + 4 < before + len(rest)
         assert (await world.hand_in("d1"))[0] == 202
         for each in rest:
             each.close()
+
     play(tmp_path, story, descriptors=LIMIT)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -47,14 +47,19 @@
     for number in ("1", "2"):
         path = tmp_path / number
         words = ["emulate", "drawn:8", "--seed", "8", "--log", path]
-        subprocess.run([sys.executable, "-m", "birchstack.cli", *words],
-                       env={**os.environ, "PYTHONHASHSEED": number}, stdout=subprocess.DEVNULL, timeout=60)
+        subprocess.run(
+            [sys.executable, "-m", "birchstack.cli", *words],
+            env={**os.environ, "PYTHONHASHSEED": number},
+            stdout=subprocess.DEVNULL,
+            timeout=60,
+        )
         logs.append(path.read_bytes())
     assert logs[0] == logs[1] and logs[0].count(b"\n") > 3000
 
 
 # Hard cases
 
+
 @pytest.mark.parametrize("write", range(1, 13))
 @pytest.mark.parametrize("kind", WRITES)
 def test_a_kill_at_any_write_also_between_record_and_202_loses_nothing(kind, write):
@@ -77,32 +82,40 @@
 
 
 def test_a_trouble_that_ends_leaves_another_at_the_same_destination_in_force():
-    played = day(Trouble(kind="silent", at=2.0, seconds=6.0, destinations=(0,)),
-                 Trouble(kind="crash", at=3.0, seconds=2.0, destinations=(0,)))
+    played = day(
+        Trouble(kind="silent", at=2.0, seconds=6.0, destinations=(0,)),
+        Trouble(kind="crash", at=3.0, seconds=2.0, destinations=(0,)),
+    )
     played.play()
     dest = played.world.destinations[0]
     calls = [call for doc in played.judge.docs.values() for call in doc.calls if call.destination == 0]
-    assert any(5500.0 < call.at < 8000.0 for call in calls)     # it accepts again, and is silent still
+    assert any(5500.0 < call.at < 8000.0 for call in calls)  # it accepts again, and is silent still
     assert not any(call.status == 200 and 3300.0 < call.over_at < 8000.0 for call in calls)
     assert not dest.active and not played.judge.breaches
 
 
 def test_an_endpoint_that_drains_while_a_call_waits_for_its_connection_gets_it_in_the_grace_or_not_at_all():
-    slow = msgspec.structs.replace(SHORT.network, delay_ms=400.0)   # connecting takes 0.8 s of the grace
+    slow = msgspec.structs.replace(SHORT.network, delay_ms=400.0)  # connecting takes 0.8 s of the grace
     played = day(Trouble(kind="replace", at=4.0, destinations=(0, 1), size=1.0), network=slow)
     result = played.play()
     assert "3 drain" not in [breach.rule for breach in result.breaches], result.text_of_breaches()
     told = {uid for (_, uid), (state, _) in played.judge._listed.items() if state != "active"}
     since = {(sender, uid): at for (sender, uid), (state, at) in played.judge._listed.items()}
-    crossed = [call for doc in played.judge.docs.values() for call in doc.calls
-               if call.endpoint in told and call.at > since[call.sender, call.endpoint]]
+    crossed = [
+        call
+        for doc in played.judge.docs.values()
+        for call in doc.calls
+        if call.endpoint in told and call.at > since[call.sender, call.endpoint]
+    ]
     assert told and all(call.at - since[call.sender, call.endpoint] < 2050.0 for call in crossed)
 
 
 @pytest.mark.parametrize("seconds", [-60.0, 60.0, 86400.0])
 def test_steps_of_the_wall_clock_between_two_lives_move_no_expiry(seconds):
-    silent, kill = Trouble(kind="silent", at=2.0, seconds=9.0, destinations=(0, 1, 2, 3)), \
-        Trouble(kind="kill", at=5.1)
+    silent, kill = (
+        Trouble(kind="silent", at=2.0, seconds=9.0, destinations=(0, 1, 2, 3)),
+        Trouble(kind="kill", at=5.1),
+    )
     played = day(silent, Trouble(kind="clock_step", at=5.0, size=seconds), kill)
     result = played.play()
     assert not result.breaches, result.text_of_breaches()
@@ -119,19 +132,27 @@
     played = day(Trouble(kind="crash", at=3.0, seconds=6.0, destinations=(0, 1)), seconds=20.0, senders=2)
     result = played.play()
     assert not result.breaches and not result.figures.get("fell over"), result.text_of_breaches()
-    back = [call.sender for doc in played.judge.docs.values() for call in doc.calls
-            if call.destination == 0 and call.status == 200 and 9200.0 < call.over_at < 14000.0]
+    back = [
+        call.sender
+        for doc in played.judge.docs.values()
+        for call in doc.calls
+        if call.destination == 0 and call.status == 200 and 9200.0 < call.over_at < 14000.0
+    ]
     assert set(back) == {0, 1}
 
 
 # The parts
 
+
 def test_a_wrong_key_is_named_with_its_path(tmp_path):
     path = tmp_path / "s.toml"
-    for text, named in (("[[troubles]]\nkind='silent'\nat=1.0\nsize_=2", "size_"),
-                        ("[[troubles]]\nkind='flood'\nat=1.0", "$.troubles[0].kind"),
-                        ("[[troubles]]\nkind='kill'\nat=1.0\nsenders=[7]", "$.troubles[0].senders"),
-                        ("[clients]\nper_second=0.0", "$.clients.per_second"), ("x = [", "s.toml")):
+    for text, named in (
+        ("[[troubles]]\nkind='silent'\nat=1.0\nsize_=2", "size_"),
+        ("[[troubles]]\nkind='flood'\nat=1.0", "$.troubles[0].kind"),
+        ("[[troubles]]\nkind='kill'\nat=1.0\nsenders=[7]", "$.troubles[0].senders"),
+        ("[clients]\nper_second=0.0", "$.clients.per_second"),
+        ("x = [", "s.toml"),
+    ):
         path.write_text(text)
         with pytest.raises(ScenarioError) as problem:
             load(path)
@@ -144,9 +165,15 @@
         assert load(tmp_path / "s.toml") == draw(seed)
 
 
-@pytest.mark.parametrize("limit, most", [
-    (Limit(kind="rate", per_second=10.0), 12), (Limit(per_second=10.0), 16),
-    (Limit(kind="span", per_second=10.0), 20), (Limit(kind="flight", per_second=3.0), 99)])
+@pytest.mark.parametrize(
+    "limit, most",
+    [
+        (Limit(kind="rate", per_second=10.0), 12),
+        (Limit(per_second=10.0), 16),
+        (Limit(kind="span", per_second=10.0), 20),
+        (Limit(kind="flight", per_second=3.0), 99),
+    ],
+)
 def test_limits_let_through_what_they_state(limit, most):
     meter, taken = Meter(limit), 0
     for at in range(0, 1000, 10):
@@ -160,7 +187,7 @@
 
 def test_a_cold_destination_falls_over_beyond_its_multiple_and_not_under_it():
     for rate, falls in ((4.0, False), (14.0, True)):
-        dest = Destination(0, Group(capacity=3.0), 3.0, Cold(), 1)      # 9 a second when warm
+        dest = Destination(0, Group(capacity=3.0), 3.0, Cold(), 1)  # 9 a second when warm
         trouble = Trouble(kind="crash", at=0.0, seconds=1.0)
         dest.strike(trouble)
         dest.failed(500.0, 1)
@@ -181,8 +208,9 @@
 
 
 def calls_until_it_falls(dest, endpoint, at):
-    return next(calls for calls in range(1, 1000)
-                if dest.arrive(at + calls * 0.01, endpoint, 1, 0.0) and dest.pushes)
+    return next(
+        calls for calls in range(1, 1000) if dest.arrive(at + calls * 0.01, endpoint, 1, 0.0) and dest.pushes
+    )
 
 
 @pytest.mark.parametrize("at", [1000.0, 1500.0, 3500.0, 7000.0])
@@ -192,9 +220,9 @@
     dest.heal(1000.0, trouble)
     warmth = 0.3 + 0.7 * (at - 1000.0) / 8000.0
     allowed = 0.9 * max(1.5, 2.5 * usual) * warmth * 2.0
-    before = 1.5 * max(2.0, 3.0 * usual) * warmth * 2.0 + 3.0   # the old bound, which began 2 s later
+    before = 1.5 * max(2.0, 3.0 * usual) * warmth * 2.0 + 3.0  # the old bound, which began 2 s later
     calls = calls_until_it_falls(dest, endpoint, at)
-    assert calls - 1 <= allowed + 2.0 * allowed ** 0.5 + 2.0 < calls + 0.1 and calls - 1 <= before
+    assert calls - 1 <= allowed + 2.0 * allowed**0.5 + 2.0 < calls + 0.1 and calls - 1 <= before
 
 
 @pytest.mark.parametrize("kind, counted", [("silent", True), ("vanish", True), ("shut", False)])
@@ -221,7 +249,7 @@
     handle = folder.open("ledger")
     folder.append(handle, b"x" * 100)
     disk.full = True
-    assert folder.append(handle, b"y" * 1000) == 412        # what the last block still holds
+    assert folder.append(handle, b"y" * 1000) == 412  # what the last block still holds
     with pytest.raises(OSError):
         folder.append(handle, b"z")
     disk.full, disk.strike, disk.died = False, (disk.writes + 1, TORN), lambda: died.append(1)
@@ -256,6 +284,7 @@
         async with asyncio.timeout(60.0):
             await asyncio.sleep(30.0)
         transport.write(b"two")
+
     server.create_task(server.create_server(Echo, "h", 1))
     task = client.create_task(ask())
     clock.run(29.0)
@@ -268,11 +297,17 @@
 
 
 def test_a_breach_is_shrunk_to_the_one_trouble_that_matters():
-    scenario = msgspec.structs.replace(draw(3, most=1), troubles=(
-        Trouble(kind="slow", at=3.0), Trouble(kind="kill", at=5.0, seconds=8.0),
-        Trouble(kind="jump", at=6.0)))
-    small = search.shrink(scenario, 3, "x",
-                          lambda less, seed: {"x": 1} if any(t.kind == "kill" for t in less.troubles) else {})
+    scenario = msgspec.structs.replace(
+        draw(3, most=1),
+        troubles=(
+            Trouble(kind="slow", at=3.0),
+            Trouble(kind="kill", at=5.0, seconds=8.0),
+            Trouble(kind="jump", at=6.0),
+        ),
+    )
+    small = search.shrink(
+        scenario, 3, "x", lambda less, seed: {"x": 1} if any(t.kind == "kill" for t in less.troubles) else {}
+    )
     assert [each.kind for each in small.troubles] == ["kill"] and small.seconds < 11.0
     assert small.troubles[0].seconds <= 0.5
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -43,7 +43,7 @@
             if story.tries(doc):
                 well = story.calls[-1][1] == "b" or number > 20
                 story.ends(doc, our.OK if well else our.TIMEOUT, 100.0)
-                story.sender._endpoints["b"].idle.clear()   # no connection draws it there
+                story.sender._endpoints["b"].idle.clear()  # no connection draws it there
     assert len(story.logs) == 2 and "back" in story.logs[1]
 
 
@@ -188,8 +188,14 @@
     assert story.said == [("d", "abandoned")] and not story.calls
 
 
-@pytest.mark.parametrize("kind, past", [("sync", dict(sent=2, doubt=((0.0, "a"),))), ("pay", dict(sent=1)),
-                                        ("order", dict(sent=1, doubt=((0.0, "a"),)))])
+@pytest.mark.parametrize(
+    "kind, past",
+    [
+        ("sync", dict(sent=2, doubt=((0.0, "a"),))),
+        ("pay", dict(sent=1)),
+        ("order", dict(sent=1, doubt=((0.0, "a"),))),
+    ],
+)
 def test_what_may_still_be_sent_after_a_restart_is_sent_with_its_count(kind, past):
     story = Story()
     story.back(["d"], kind, **past)
@@ -213,7 +219,7 @@
     story.back(["d2"], "turn", "k")
     assert [doc for doc, _ in story.calls] == ["d1"]
     story.ends("d1", our.OK, 100)
-    story.at(900.0)             # the call that was out before the restart may still run
+    story.at(900.0)  # the call that was out before the restart may still run
     assert not story.tries("d2")
     story.at(1200.0)
     assert story.tries("d2") == 1
@@ -234,7 +240,7 @@
 
 def test_time_outs_of_a_silent_endpoint_are_not_blamed_on_idle_connections():
     story = Story()
-    for name in "ds":                           # four at a time, first served, then silent after idle time
+    for name in "ds":  # four at a time, first served, then silent after idle time
         docs = [f"{name}{number}" for number in range(4)]
         for doc in docs:
             story.take(doc)
@@ -294,8 +300,21 @@
             story.listed([name], mode, our.GONE, destination)
     sender = story.sender
     assert story.ended == {f"d{number}" for number in range(300)}
-    assert max(len(each) for each in (sender._endpoints, sender._destinations, sender._keys, sender._lying,
-                                      sender._held, sender._flying, sender._ends)) < 100
+    assert (
+        max(
+            len(each)
+            for each in (
+                sender._endpoints,
+                sender._destinations,
+                sender._keys,
+                sender._lying,
+                sender._held,
+                sender._flying,
+                sender._ends,
+            )
+        )
+        < 100
+    )
 
 
 def test_a_new_endpoint_in_the_place_of_one_that_went_is_met_as_new():
@@ -317,12 +336,12 @@
 
 @pytest.mark.parametrize(("failures", "most"), [(0, 20), (4, 3)])
 def test_an_endpoint_that_failed_a_little_in_an_outage_gets_no_burst_when_it_serves_again(failures, most):
-    story = Story(slots=40)                     # found by the emulator: seeds 22, 125, 1038
+    story = Story(slots=40)  # found by the emulator: seeds 22, 125, 1038
     for number in range(10):
         story.take(f"d{number}")
         story.ends(f"d{number}", our.OK, 100.0)
     story.at(story.now + 50.0)
-    for number in range(failures):              # five would make it ill
+    for number in range(failures):  # five would make it ill
         story.take(f"f{number}")
         story.ends(f"f{number}", our.CONNECT_FAILED)
     story.at(story.now + 1500.0)
@@ -345,7 +364,7 @@
             story.ends("d", our.TIMEOUT, 2000.0)
         story.at(story.now + 2500.0)
     story.ends("d", our.OK, 50.0)
-    story.listed(["b"], our.CHANGES)            # found by the emulator: seed 196
+    story.listed(["b"], our.CHANGES)  # found by the emulator: seed 196
     for number in range(20):
         story.take(f"e{number}")
     assert sum(name == "b" for _, name in story.calls) <= 2
@@ -353,7 +372,7 @@
 
 @pytest.mark.parametrize(("away", "most"), [(our.DRAINING, 3), (our.READY, 20)])
 def test_an_endpoint_back_from_a_drain_or_out_by_hand_is_cold(away, most):
-    story = Story(slots=40)                     # the operators' days: restarted while out, it returns cold
+    story = Story(slots=40)  # the operators' days: restarted while out, it returns cold
     for number in range(10):
         story.take(f"d{number}")
         story.ends(f"d{number}", our.OK, 100.0)
@@ -366,7 +385,7 @@
 
 
 def test_a_wait_and_a_return_told_to_the_process_before_are_kept():
-    story = Story(slots=40)                     # an upgrade is one sender: a wait told to the old one holds
+    story = Story(slots=40)  # an upgrade is one sender: a wait told to the old one holds
     story.sender.recall(story.now, "a", 1500.0, -1.0)
     story.take("d1")
     story.at(1400.0)
@@ -377,7 +396,7 @@
     for number in range(10):
         cold.take(f"d{number}")
         cold.ends(f"d{number}", our.OK, 100.0)
-    cold.sender.recall(cold.now, "a", 0.0, 500.0)   # back from out by hand half a second ago: still cold
+    cold.sender.recall(cold.now, "a", 0.0, 500.0)  # back from out by hand half a second ago: still cold
     for number in range(20):
         cold.take(f"w{number}")
     assert sum(doc.startswith("w") for doc, _ in cold.calls) <= 3
--- a/tests/test_fleet_lag.py
+++ b/tests/test_fleet_lag.py
@@ -20,16 +20,26 @@
 
 
 def view(*held, now=20_000.0, given=GIVEN, turns=None, answered=19_900.0, heard=0.0):
-    seen = [lag.Sighting(f"n{at}", answered if each is not None else None, each, heard)
-            for at, each in enumerate(held)]
+    seen = [
+        lag.Sighting(f"n{at}", answered if each is not None else None, each, heard)
+        for at, each in enumerate(held)
+    ]
     return lag.judge(seen, given, now, BOUNDS, turns or lag.Turns())
 
 
-@pytest.mark.parametrize("held, what, evidence", [
-    (version(3), lag.WELL, "acts on 3@"), (version(2), lag.BEHIND, "10.0 s ago"),
-    (version(1), lag.BEHIND, "15.0 s ago"), (version(3, "f" * 32), lag.FORK, "another content"),
-    (version(2, "f" * 32), lag.FORK, "another content"), (version(7), lag.AHEAD, "beyond 3@"),
-    (version(9, epoch="e"), lag.STRANGE, "another epoch"), (None, lag.SILENT, "never")])
+@pytest.mark.parametrize(
+    "held, what, evidence",
+    [
+        (version(3), lag.WELL, "acts on 3@"),
+        (version(2), lag.BEHIND, "10.0 s ago"),
+        (version(1), lag.BEHIND, "15.0 s ago"),
+        (version(3, "f" * 32), lag.FORK, "another content"),
+        (version(2, "f" * 32), lag.FORK, "another content"),
+        (version(7), lag.AHEAD, "beyond 3@"),
+        (version(9, epoch="e"), lag.STRANGE, "another epoch"),
+        (None, lag.SILENT, "never"),
+    ],
+)
 def test_each_verdict_has_its_evidence(held, what, evidence):
     verdict = view(held, *[version(3)] * 4).verdicts[0]
     assert verdict.what == what and evidence in verdict.evidence
@@ -44,10 +54,11 @@
 
 def test_a_fleet_that_is_late_as_a_whole_has_no_stragglers_nor_has_a_keeper_that_is_cut_off():
     for given, held, fleet in [
-            (lag.Given(GIVEN.versions, 1000.0), [version(2)] * 3, lag.FLEET_STALE),
-            (GIVEN, [version(2), version(2), version(3)], lag.FLEET_STALE),
-            (GIVEN, [None, None, version(2)], lag.KEEPER_CUT_OFF),
-            (lag.Given(GIVEN.versions, 1000.0), [None, None, version(3)], lag.KEEPER_CUT_OFF)]:
+        (lag.Given(GIVEN.versions, 1000.0), [version(2)] * 3, lag.FLEET_STALE),
+        (GIVEN, [version(2), version(2), version(3)], lag.FLEET_STALE),
+        (GIVEN, [None, None, version(2)], lag.KEEPER_CUT_OFF),
+        (lag.Given(GIVEN.versions, 1000.0), [None, None, version(3)], lag.KEEPER_CUT_OFF),
+    ]:
         told = view(*held, given=given)
         assert told.fleet == fleet and told.evidence and not told.stragglers()
     assert [each.sender for each in view(version(2), version(3), version(3)).stragglers()] == ["n0"]
@@ -58,24 +69,36 @@
     for round_ in range(3):
         begin = 20_000.0 + 10_000.0 * round_
         given = lag.Given((*GIVEN.versions, (version(4 + round_), begin)), begin + 5000.0)
-        told = view(version(3 + round_), *[version(4 + round_)] * 3, now=begin + 5000.0, given=given,
-                    turns=turns, answered=begin + 4900.0)
+        told = view(
+            version(3 + round_),
+            *[version(4 + round_)] * 3,
+            now=begin + 5000.0,
+            given=given,
+            turns=turns,
+            answered=begin + 4900.0,
+        )
         assert told.verdicts[0].what == (lag.FLAPPING if round_ == 2 else lag.BEHIND)
-        view(version(4 + round_), *[version(4 + round_)] * 3, now=begin + 6000.0, given=given, turns=turns,
-             answered=begin + 5900.0)
+        view(
+            version(4 + round_),
+            *[version(4 + round_)] * 3,
+            now=begin + 6000.0,
+            given=given,
+            turns=turns,
+            answered=begin + 5900.0,
+        )
     turns.keep({"n1"})
     assert turns.many("n0", 50_000.0, 60_000.0) == 0
 
 
-QUICK = {"senders": 5, "endpoints": 2, "destinations": 2,
-         "keeper": {"behind_s": 1.0, "silent_s": 1.0}}
+QUICK = {"senders": 5, "endpoints": 2, "destinations": 2, "keeper": {"behind_s": 1.0, "silent_s": 1.0}}
 
 
 def play(folder, story, **words):
     async def whole():
         async with Rig(folder, **{**QUICK, **words}) as rig:
-            await asyncio.sleep(1.6)                    # a keeper judges once it had time to hear everybody
+            await asyncio.sleep(1.6)  # a keeper judges once it had time to hear everybody
             await asyncio.wait_for(story(rig), 20.0)
+
     asyncio.run(whole())
 
 
@@ -89,7 +112,7 @@
         rig.link("n1", "list").cut()
         rig.list.publish(e1="leaving")
         await rig.until(lambda: told(rig) == {("n1", "behind")})
-        rig.list.still.add("n2")                        # its watch beats, and the list stands still
+        rig.list.still.add("n2")  # its watch beats, and the list stands still
         rig.list.publish(e1="active")
         await rig.until(lambda: told(rig) == {("n1", "behind"), ("n2", "behind")})
         rows = {each.sender: each.evidence for each in Stores([rig.store("k1")], rig.now_ms()).stragglers()}
@@ -97,6 +120,7 @@
         rig.list.still.clear()
         rig.link("n1", "list").open()
         await rig.until(lambda: told(rig) == set())
+
     play(tmp_path, story)
 
 
@@ -104,7 +128,7 @@
     async def story(rig):
         rig.link("n1", "list").cut()
         rig.list.publish(e1="leaving")
-        for name in (*rig.senders, *rig.keepers):       # the whole list service is gone now
+        for name in (*rig.senders, *rig.keepers):  # the whole list service is gone now
             rig.link(name, "list").cut()
         await rig.until(lambda: ("", "stale") in told(rig) and ("", "stale") in told(rig, "k2"))
         for name in rig.senders:
@@ -116,6 +140,7 @@
         for link in rig.links.values():
             link.open()
         await rig.until(lambda: told(rig) == told(rig, "k2") == set(), 15.0)
+
     play(tmp_path, story, keepers=2)
 
 
@@ -130,4 +155,5 @@
         await rig.until(lambda: told(rig) == {("n1", "silent"), ("n5", "on a fork")})
         rig["n1"].go()
         await rig.until(lambda: told(rig) == {("n5", "on a fork")})
+
     play(tmp_path, story, list_services=2)
--- a/tests/test_fleet_links.py
+++ b/tests/test_fleet_links.py
@@ -16,11 +16,13 @@
 
 def linked(story):
     """An echo server behind a link, and what story(link, stage) does with it."""
+
     async def whole():
         async def echo(reader, writer):
             while data := await reader.read(65536):
                 writer.write(data)
             writer.close()
+
         server = await asyncio.start_server(echo, "127.0.0.1", 0)
         quiet = Scenario(network=Network(delay_ms=0.0, jitter=0.0))
         stage = sockets.Stage(asyncio.get_running_loop(), quiet, 1)
@@ -32,6 +34,7 @@
             server.close()
             for host in stage.hosts:
                 host.close()
+
     asyncio.run(whole())
 
 
@@ -58,6 +61,7 @@
             if not link.connections:
                 return
         raise AssertionError("the connection stays")
+
     linked(story)
 
 
@@ -76,6 +80,7 @@
         with pytest.raises(ConnectionResetError):
             await asyncio.wait_for(lost[0].read(1), 1.0)
         assert await say(idle, b"still here") == b"still here", "nothing of it was lost"
+
     linked(story)
 
 
@@ -98,6 +103,7 @@
         link.slow(20000.0, "there")
         began = clock()
         assert await say(end, b"x" * 4000) and clock() - began >= 0.19
+
     linked(story)
 
 
@@ -114,6 +120,7 @@
         link.open()
         await asyncio.sleep(0.05)
         assert await say(await asyncio.open_connection(*link.where), b"again") == b"again"
+
     linked(story)
 
 
@@ -148,6 +155,7 @@
                     await asyncio.sleep(0.005)
             await asyncio.sleep(wait)
             return [*hear.heard]
+
         assert await send(60) == [*range(60)]
         link.there.lost = 0.3
         assert 20 < len(await send(100)) < 95 and link.dropped > 5
@@ -169,6 +177,7 @@
         assert hear.heard == [*range(5)]
         for each in (mine, server, link):
             each.close()
+
     asyncio.run(whole())
 
 
@@ -180,20 +189,30 @@
             await asyncio.wait_for(play(told, rig), 20.0)
             await asyncio.sleep(0.6)
             stores = Stores([rig.store("k1")], rig.now_ms())
-            moments = [(each.sender, each.detail[:7]) for each in stores.timeline() if each.what == "adopted"
-                       and each.detail.startswith("list 2@")]
+            moments = [
+                (each.sender, each.detail[:7])
+                for each in stores.timeline()
+                if each.what == "adopted" and each.detail.startswith("list 2@")
+            ]
             assert moments[-1][0] == "n1" and {sender for sender, _ in moments} == set(rig.senders)
             late = {each.sender for each in stores.late(1).calls}
             assert "n1" in late and late <= {"n1", "n2"}
             assert {each.sender for each in stores.after("e1", 2).calls} <= {"n1", "n2"}
+
     asyncio.run(whole())
 
 
-@pytest.mark.parametrize("text, named", [
-    ("seconds = 0\n", "$.seconds"), ("[[step]]\nat = 1.0\ndo = 'jump'\n", "$.step[0].do"),
-    ("[[step]]\nat = 1.0\ndo = 'cut'\n", "wants link"),
-    ("[[step]]\nat = 1.0\ndo = 'kill'\nname = 'n9'\n", "'n9'"),
-    ("[[step]]\nat = 1.0\ndo = 'publish'\n", "wants states"), ("stages = 3\n", "stages")])
+@pytest.mark.parametrize(
+    "text, named",
+    [
+        ("seconds = 0\n", "$.seconds"),
+        ("[[step]]\nat = 1.0\ndo = 'jump'\n", "$.step[0].do"),
+        ("[[step]]\nat = 1.0\ndo = 'cut'\n", "wants link"),
+        ("[[step]]\nat = 1.0\ndo = 'kill'\nname = 'n9'\n", "'n9'"),
+        ("[[step]]\nat = 1.0\ndo = 'publish'\n", "wants states"),
+        ("stages = 3\n", "stages"),
+    ],
+)
 def test_a_wrong_day_is_named_by_its_key(text, named):
     with pytest.raises(ScriptError) as caught:
         decode(b"name = 'x'\n" + text.encode(), "day.toml")
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -16,6 +16,7 @@
     async def whole():
         async with Rig(folder, **{"senders": 5, "endpoints": 2, "destinations": 2, **words}) as rig:
             await asyncio.wait_for(story(rig), 25.0)
+
     asyncio.run(whole())
 
 
@@ -33,15 +34,20 @@
             age = rig.now_ms() - each.age_ms if each.age_ms >= 0.0 else 0.0
             ages[each.sender] = max(age, ages.get(each.sender, 0.0))
         return all(age > now for sender, age in ages.items() if sender not in without) and ages
+
     await rig.until(complete, 8.0, "a complete picture")
     return Stores(here, now_ms=rig.now_ms(), **words)
 
 
 def truth(rig, since=0.0, until=None, sender=None, endpoint=None):
     """What the endpoints saw up to the last audit: calls as (sender, document, endpoint)."""
-    return sorted((each.sender, each.doc, each.endpoint) for each in rig.endpoints.calls
-                  if since < rig.wall(each.at_ms) < (until or rig.audited) and sender in (None, each.sender)
-                  and endpoint in (None, each.endpoint))
+    return sorted(
+        (each.sender, each.doc, each.endpoint)
+        for each in rig.endpoints.calls
+        if since < rig.wall(each.at_ms) < (until or rig.audited)
+        and sender in (None, each.sender)
+        and endpoint in (None, each.endpoint)
+    )
 
 
 def named(calls):
@@ -100,6 +106,7 @@
         assert not truth(rig, back, endpoint="e1") and named(told.late(1).calls) == truth(rig, at, back, "n1")
         acted = {each.sender: each for each in told.acted(1).stretches}
         assert not acted["n1"].open and acted["n1"].calls == len(truth(rig, 0.0, back, "n1"))
+
     play(tmp_path, story)
 
 
@@ -125,6 +132,7 @@
         second = {each.sender: each.calls for each in told.acted(1).stretches if each.from_ms > out}
         assert second == {name: len(truth(rig, restored, sender=name)) for name in rig.senders}
         assert named(told.late(2).calls) == []
+
     play(tmp_path, story)
 
 
@@ -144,9 +152,11 @@
         stretches = told.acted(number).stretches
         assert len({each.digest for each in stretches}) == 2
         assert {each.sender: each.calls for each in stretches} == {
-            name: len(truth(rig, at, sender=name)) for name in rig.senders}
+            name: len(truth(rig, at, sender=name)) for name in rig.senders
+        }
         assert named(told.after("e1", number).calls) == truth(rig, at, endpoint="e1")
         assert {sender for sender, _, _ in truth(rig, at, endpoint="e1")} == {"n4", "n5"}
+
     play(tmp_path, story, list_services=2)
 
 
@@ -172,8 +182,9 @@
         await asyncio.sleep(0.3)
         told = await audit(rig, silent_ms=1000.0)
         assert named(told.after("e1", number).calls) == truth(rig, at, endpoint="e1")
-        assert named(told.late(1).calls) == truth(rig, at, sender="n1")[:len(told.late(1).calls)]
+        assert named(told.late(1).calls) == truth(rig, at, sender="n1")[: len(told.late(1).calls)]
         assert not unknown_of(told.late(1), "n1") and not told.findings(1e9)
+
     play(tmp_path, story)
 
 
@@ -196,6 +207,7 @@
         assert len(extra) <= 12, "begun, recorded, and killed before they left: at most a turn for each kill"
         assert sum(each.calls for each in acted) >= len(seen)
         assert not told.findings(1e9)
+
     play(tmp_path, story)
 
 
@@ -214,6 +226,7 @@
         assert len(mine) == 2 and not mine[0].open and mine[1].open
         assert sum(each.calls for each in mine) == len(truth(rig, sender="n1"))
         assert not [each for each in told.findings() if each.kind != "silent"]
+
     play(tmp_path, story, also={"n1": ["n1b"]})
 
 
@@ -233,12 +246,13 @@
         told = await audit(rig)
         found = {each.kind for each in told.findings()}
         assert {"cloned folder", "another name"} <= found, told.findings()
-        lost, = unknown_of(told.document("d00001"), "n5")    # its own folder, that the copy took the place of
-        both = known(rig, told)                 # a document that n1 owed may have gone out from both
+        (lost,) = unknown_of(told.document("d00001"), "n5")  # its own folder, that the copy took the place of
+        both = known(rig, told)  # a document that n1 owed may have gone out from both
         assert [each for each in both if each not in truth(rig)] == []
         gone = [each for each in truth(rig) if each not in both]
         assert gone == [each for each in truth(rig, lost.from_ms, lost.to_ms, "n5") if each in gone]
         assert {"n1", "n5"} <= {sender for sender, _, _ in truth(rig, cloned)}
+
     play(tmp_path, story)
 
 
@@ -253,8 +267,9 @@
         rig.load(150)
         await asyncio.sleep(0.5)
         told = await audit(rig, without=("n1", "n2"))
-        gap = {each.sender: each for each in told.after("e1", number).unknown
-               if each.to_ms - each.from_ms > 400}
+        gap = {
+            each.sender: each for each in told.after("e1", number).unknown if each.to_ms - each.from_ms > 400
+        }
         assert set(gap) == {"n1", "n2"} and all(each.from_ms < cut + 250.0 for each in gap.values())
         whole = await audit(rig, ("k1", "k2"))
         assert not [each for each in whole.after("e1", number).unknown if each.to_ms - each.from_ms > 400]
@@ -267,6 +282,7 @@
             rig.link("k1", f"{name}:ops").open()
         await rig["k1"].start("event=keeping")
         assert known(rig, await audit(rig)) == truth(rig), "from where it was, and each record once"
+
     play(tmp_path, story, keepers=2)
 
 
@@ -290,6 +306,7 @@
         rig.add_keeper("k1", store_mb=64.0)
         await rig["k1"].start("event=keeping")
         assert known(rig, await audit(rig)) == truth(rig)
+
     play(tmp_path, story, keeper={"store_mb": 0.25})
 
 
@@ -315,6 +332,7 @@
             if each.doc in lost:
                 assert gap[0].from_ms - 50.0 <= rig.wall(each.at_ms) <= gap[0].to_ms + 50.0
         assert not unknown_of(told.acted(1), "n1"), "the totals are exact all the same"
+
     play(tmp_path, story, senders=2, fleet="[trail]\nbytes = 65536\n")
 
 
@@ -339,11 +357,12 @@
         told = await audit(rig)
         found = {(each.kind, each.sender) for each in told.findings()}
         assert {("folder lost", "n1"), ("fork", "n2")} <= found
-        lost, = unknown_of(told.document("d00001"), "n1")
+        (lost,) = unknown_of(told.document("d00001"), "n1")
         assert lost.why == "the folder was lost" and lost.to_ms - lost.from_ms < 1000.0
         gone = [each for each in truth(rig) if each not in known(rig, told)]
         assert gone == [each for each in truth(rig, lost.from_ms, lost.to_ms, "n1") if each in gone]
         assert not [each for each in known(rig, told) if each not in truth(rig)]
+
     play(tmp_path, story, senders=3)
 
 
@@ -360,7 +379,7 @@
     async def story(rig):
         rig.load(120)
         await asyncio.sleep(0.4)
-        (tmp_path / "n1.json.step").touch()     # from here on its wall clock is an hour ahead
+        (tmp_path / "n1.json.step").touch()  # from here on its wall clock is an hour ahead
         number, at = await publish(rig, e1="leaving")
         rig.load(120)
         await asyncio.sleep(0.4)
@@ -371,6 +390,7 @@
         for doc in {doc for _, doc, _ in truth(rig, sender="n1")}:
             for call in told.document(doc).calls:
                 assert abs(seen[call.sender, doc] - call.at_ms) < 200.0
+
     (tmp_path / "stepped.py").write_text(STEPPED)
     path = f"PYTHONPATH={shlex.quote(os.getcwd())}"
     play(tmp_path, story, run=f"exec env {path} {sys.executable} {tmp_path / 'stepped.py'}")
