Signals: senders tell one another of failures, waits and served calls by the keepers

Cause: each sender finds an outage, a told wait and a return by itself, so a fleet tries a destination that is down as often as it has senders.

--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -31,6 +31,7 @@
     "keepers": "benchmarks.capacity.keepers",
     "repeats": "benchmarks.capacity.repeats",
     "repeats-down": "benchmarks.capacity.repeats_down",
+    "signals": "benchmarks.capacity.signals",
 }
 FOLDER = Path("docs/capacity")
 
--- a/benchmarks/capacity/audit.py
+++ b/benchmarks/capacity/audit.py
@@ -45,7 +45,7 @@
         config = fleet_settings.room_for(fleet, decode(raw, {}))
         self.room = fleet.trail.bytes
         self.witness = Keeping(
-            fleet, config, machine, machine.folder(folder), lambda: Moment(True, 100, 900.0)
+            fleet, config, machine, machine.folder(folder), lambda: Moment(True, 100, 900.0), print
         )
         self.witness.begins(True)
         self.witness.settings(config, "start")
@@ -55,7 +55,7 @@
     def asked(self) -> None:
         """A keeper asks until it has all."""
         request = http1.request("GET", wire.target(self.taken), "127.0.0.1:7401")
-        answer = self.witness.asked({"after": [str(self.taken)]})
+        answer = self.witness.asked({"after": [str(self.taken)]}, b"")
         piece = wire.decode(answer.content)
         frames = [each for each in scan(piece.frames) if not isinstance(each, Damage)]
         self.wire_bytes += len(request) + len(answer.bytes())
--- a/birchstack/adapter/wire.py
+++ b/birchstack/adapter/wire.py
@@ -65,6 +65,9 @@
     def tell(self, note: str) -> None:
         self._act("notify", dst=-1, bytes=note)
 
+    def observed(self, endpoint: str, kind: our.SignalKind, wait_ms: float) -> None:
+        """Never called: the simulator's senders talk by notes."""
+
     def log(self, text: str) -> None:
         self._act("sayLog", reasonText=text)
 
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -51,6 +51,8 @@
 LEAST_TRIALS, TRIAL_PART, WORD_PART = 2.0, 0.1, 0.3  # trials a second, of all senders; of their usual
 FAILED, WAIT, SERVES, BACK, CROWD = "f", "w", "s", "b", "k"  # what notes tell of an endpoint
 LONGEST_TOLD_MS, STALL_MS = 30000.0, 300.0  # others' waits are held so long at most; late: stood still
+QUORUM, QUORUM_MS = 3.0, 2000.0  # senders that report failures, and of its traffic in such a time: ill
+TRUST_EVERY_MS = 30000.0  # a return that is only reported is believed so often
 WARM_LEAST_MS, SURE = 4000.0, 1.5  # what waits goes over so long at least; warmth, where told of
 
 
@@ -72,6 +74,7 @@
         self.row, self.failed_at, self.refused = 0, now, 0  # failures since it served, since when; refusals
         self.wait_until, self.hold_until, self.equal = 0.0, 0.0, float("inf")  # told; others were; its part
         self.per_call, self.trial_at, self.trial_ms, self.ramp = per_call, 0.0, TRIAL_MS, Meter(now)
+        self.shared = False  # whether others reported its failures, and try it in turn
         self.limit, self.share, self.steered_at, self.cut_at = limit, 1.0, now, 0.0
         self.room, self.room_at, self.meter, self.served = 1.0, now, Meter(now), Ring(now, BUCKET_MS, BUCKETS)
 
@@ -151,6 +154,7 @@
         self._busy, self._level, self._turned, self._ask_ms = 0.0, 0.0, 0.0, ASK_MS  # parts of slots
         self._ask_at = self._draw(0.0, ASK_MS) if settings.list_on_request else float("inf")  # spread
         self._quotas, self._traffic = dict(settings.tenants), {}  # and documents taken, by tenant
+        self._linked = False  # whether signals of other senders reach this one
 
     def endpoints(self, now: float, mode: str, entries: list[our.Endpoint]) -> None:
         """The list, or changes to it; one that is ready again after a drain, or out by hand, is cold."""
@@ -223,6 +227,10 @@
         call.docs -= 1
         if outcome.wait_ms > 0:
             call.ep.route.wait_until = max(call.ep.route.wait_until, now + outcome.wait_ms)
+            if (
+                self._linked and outcome.wait_ms > LONG_WAIT_MS
+            ):  # a shorter one is a limit's span: not for all
+                self._host.observed(call.ep.name, our.SignalKind.WAIT, outcome.wait_ms)
         if call.docs == 0:
             self._hang_up(now, doc.destination, call, outcome.kind, outcome.kept)
         if not call.heard and outcome.kind not in (UNSENT, CANCELLED):
@@ -450,6 +458,9 @@
         for route in dest.routes:
             if route.troubled(now) and not self._spares(now, dest):
                 continue
+            if route.shared and not self._linked:  # nobody tells of a return any more
+                route.shared = False
+                self._await_trial(now, dest, route, route.trial_ms)
             wait_ms = route.wait_ms(now, min(dest.usual(now), route.equal) / 2.0)
             if wait_ms > 0.0:
                 self._wake(now, now + wait_ms)
@@ -467,17 +478,9 @@
 
     def _spares(self, now: float, dest: Destination) -> bool:  # the sick must not fill the slots together
         if self._sick[0] != self._out:  # counted again in a turn only after a call
-            self._sick = (
-                self._out,
-                sum(
-                    len(ep.calls)
-                    for each in self._destinations.values()
-                    if each.out
-                    for it in each.routes
-                    if it.troubled(now)
-                    for ep in it.endpoints
-                ),
-            )
+            called = [it for each in self._destinations.values() if each.out for it in each.routes]
+            sick = [ep for it in called if it.troubled(now) for ep in it.endpoints]
+            self._sick = self._out, sum(len(ep.calls) for ep in sick)
         return dest.out < min(dest.window, dest.half) and self._sick[1] < max(1, int(dest.half * SICK_PART))
 
     def _ramped(self, now: float, dest: Destination, route: Route, ep: Place) -> bool:
@@ -535,14 +538,11 @@
         return min(self._set.retry_after_ms, wait_ms) if wait_ms > left_ms - CALL_MS else 0.0
 
     def _make_room(self, now: float) -> None:
-        while len(self._held) >= max(2, self._set.max_held) and (
-            lines := [  # what a restart found is
-                (each.troubled(now), len(each.line), -number)
-                for number, each in self._destinations.items()  # tried, in less room too
-                if any(map(Document.fresh, each.line))
-            ]
-        ):
-            line = self._destinations[-max(lines)[2]].line
+        while len(self._held) >= max(2, self._set.max_held):
+            dests = [each for each in self._destinations.values() if any(map(Document.fresh, each.line))]
+            if not dests:  # what a restart found is tried, in less room too
+                return
+            line = max(dests, key=lambda each: (each.troubled(now), len(each.line), -each.number)).line
             self._finish(min((self._value(now, doc), doc.order, doc) for doc in line if doc.fresh())[2])
 
     # What outcomes teach
@@ -581,6 +581,7 @@
         if kind == FULL:
             route.meter.credit = self._draw(-0.5, 0.5) if rare else 0.0  # the next call a full step later
         ep.failed_at, ep.streak = ep.failed_at if ep.streak else now, ep.streak + 1
+        ep.last_failed_at = now
         if not call.trial and call.sent_at >= max(each.ok_at for each in route.endpoints):
             route.failed_at, route.row = route.failed_at if route.row else call.sent_at, route.row + 1
         brief = BRIEF * (outcome.elapsed_ms < TRIAL_MS and kind in (our.ERROR, our.RESET, CONNECT_FAILED))
@@ -589,6 +590,8 @@
         enough = STREAK if quick or self._set.notes else max(1, min(STREAK, int(usual * STREAK)))
         enough = brief + (1 if any(other.ill for other in route.endpoints) else enough)
         if kind != FULL:
+            if self._linked:
+                self._host.observed(ep.name, our.SignalKind.FAILED, 0.0)
             self._tell(now, ep, FAILED)
             if self._rumoured(now, ep, kind):
                 return
@@ -596,13 +599,10 @@
             self._tell(now, ep, f"{WAIT}{int(outcome.wait_ms)}")
         if ep.ill:
             self._await_trial(now, dest, route, route.trial_ms * 2.0)
-        elif (
-            kind != FULL
-            and (ep.streak >= enough or ep.failing > ILL_SHARE or route.row - route.refused >= STREAK + brief)
-            or outcome.wait_ms > LONG_WAIT_MS
-            or ep.streak >= max(STREAK, 2 * enough)
-            and now - ep.failed_at >= SHUT_MS
-        ):
+            return
+        failing = ep.streak >= enough or ep.failing > ILL_SHARE or route.row - route.refused >= STREAK + brief
+        shut = ep.streak >= max(STREAK, 2 * enough) and now - ep.failed_at >= SHUT_MS
+        if kind != FULL and failing or outcome.wait_ms > LONG_WAIT_MS or shut:
             self._falls_ill(now, dest, route, ep, kind)  # refusals: only if long, not of a limit's span
 
     def _falls_ill(self, now: float, dest: Destination, route: Route, ep: Place, why: str) -> None:
@@ -621,19 +621,20 @@
             rare_ms, least = held * 1000.0 / max(LEAST_TRIALS, TRIAL_PART * usual * self._set.senders), 0.0
         pause_ms = rare_ms if rare_ms > LONGEST_TRIAL_MS else route.trial_ms  # no more often than they send
         if start > now and not self._set.notes:  # all see its end at one time: the first calls of the ramp
-            pause_ms, least = 500.0 / max(usual * self._set.cold_share, 1000.0 / self._set.warm_up_ms), 0.0
+            alone = 0.0 if self._linked else 1000.0 / self._set.warm_up_ms  # few know of it, unless told
+            pause_ms, least = 500.0 / max(usual * self._set.cold_share, alone), 0.0
+        elif route.shared:  # others try it too: as often together as one would, also as documents come
+            pause_ms, each = route.trial_ms, max(LEAST_TRIALS / self._set.senders, TRIAL_PART * usual)
+            start += max(0.0, self._draw(0.0, 1.0) - each / usual) * 2000.0 / each
         route.trial_at = start + pause_ms * self._draw(least, 2.0 - least)
 
     # What other senders tell: evidence that is weaker than an outcome, and ages
 
     def _tell(self, now: float, ep: Place, what: str) -> None:
         known = now < self._crowded_until.get(ep.kind, 0.0) if what == CROWD else ep.ill and what != BACK
-        if (
-            self._set.notes
-            and now >= ep.note_at
-            and not known
-            and not self._notes.wait_ms(now, TOLD / self._set.senders, TOLD_AT_ONCE)
-        ):
+        if not self._set.notes or known or now < ep.note_at:
+            return
+        if not self._notes.wait_ms(now, TOLD / self._set.senders, TOLD_AT_ONCE):
             ep.note_at, self._notes.credit = now + NOTE_MS, self._notes.credit - 1.0
             self._host.tell(f"{mark(ep.name)}{what}")
 
@@ -660,6 +661,39 @@
             self._stirred = True
             self._back(now, dest, route, ep)
 
+    def linked(self, now: float, live: bool) -> None:
+        self._linked, self._stirred = live, True
+
+    def reported(self, now: float, report: our.Report) -> None:
+        """Guards against every sender finding an outage, a told wait and a return by itself. Failures count
+        from many senders only, and none older than what was served. May hurt where few senders are served."""
+        if (ep := self._endpoints.get(report.endpoint)) is None:
+            return
+        route, dest = ep.route, ep.route.destination
+        before = ep.ill, route.shared
+        failed_by = ep.hear(now, report)
+        if failed_by >= self._quorum(now, route):
+            route.shared = True
+            if not ep.ill:
+                self._falls_ill(now, dest, route, ep, "told")
+        failed_at = max(ep.last_failed_at, ep.others_failed_at, route.wait_until)
+        if not failed_by and ep.ill and ep.others_served_at > failed_at:
+            if now > ep.others_trusted_at + TRUST_EVERY_MS:
+                ep.others_trusted_at = now
+                self._back(now, dest, route, ep)
+            elif route.shared:  # not again so soon: each finds out by itself
+                route.shared = False
+                self._await_trial(now, dest, route, route.trial_ms)
+        if report.wait_ms > 0.0 and now - report.wait_age_ms > ep.ok_at:
+            route.wait_until, ep.failed_at = max(route.wait_until, now + report.wait_ms), now
+            self._falls_ill(now, dest, route, ep, FULL)
+        self._stirred = self._stirred or before != (ep.ill, route.shared)  # else it frees nothing
+
+    def _quorum(self, now: float, route: Route) -> float:  # of senders that saw failures; never one alone
+        usual = route.destination.usual(now) * self._set.senders / len(route.endpoints)
+        most = min(our.MOST_OBSERVERS, max(2, self._set.senders // 2))
+        return min(most, max(QUORUM, usual * WORD_PART * QUORUM_MS / 1000.0))
+
     def _crowded(self, now: float, ep: Place) -> None:  # full tables of its kind: none is kept idle there
         if now >= self._crowded_until.get(ep.kind, 0.0):
             self._stirred = True
@@ -680,11 +714,11 @@
         dest.window = min(float(dest.half if dest.troubled(now) else dest.top), dest.window + 1.0)
         route.served.add(now)
         self._norm.add(ms)
-        back = (
-            call.sent_at >= route.ill_at
-            if ep.ill
-            else route.row >= BRIEF and call.sent_at >= route.failed_at < now - OUTAGE_MS
-        )  # few calls met it
+        back = ep.ill and call.sent_at >= route.ill_at
+        if not ep.ill and route.row >= BRIEF:  # few calls met it
+            back = call.sent_at >= route.failed_at < now - OUTAGE_MS
+        if self._linked and max(ep.last_failed_at, ep.others_failed_at) > max(ep.ok_at, ep.others_served_at):
+            self._host.observed(ep.name, our.SignalKind.SERVED, 0.0)
         ep.streak, ep.ok_at, ep.failing, ep.doubtful = 0, now, ep.failing * 0.8, ep.doubtful * 0.8
         ep.recent_ms += (ms - ep.recent_ms) * (0.3 if ep.recent_ms else 1.0)
         ep.usual_ms += (ms - ep.usual_ms) * (0.02 if ep.usual_ms > 0 else 1.0)
@@ -699,7 +733,7 @@
         route.row = 0
 
     def _back(self, now: float, dest: Destination, route: Route, ep: Place) -> None:
-        route.away_ms, back_at = now - route.ill_at, state.last_back(route.endpoints)
+        route.away_ms, back_at, route.shared = now - route.ill_at, state.last_back(route.endpoints), False
         if back_at is None or back_at < max(route.ill_at, route.failed_at):
             route.ramp, back_at = Meter(now, self._draw(0.0, 1.0)), now
         for each in route.endpoints:  # a sibling that failed and served nothing since is as cold
--- a/birchstack/fleet/settings.py
+++ b/birchstack/fleet/settings.py
@@ -31,9 +31,20 @@
     back: Back = TAKE
 
 
+class Signals(Struct, frozen=True, forbid_unknown_fields=True):
+    """bytes: of signals in one answer to a keeper. quiet_s: after so many seconds without a keeper's question
+    the sender decides as if it were alone (docs/notes/signals.md)."""
+
+    bytes: Annotated[int, Meta(ge=64, le=65536)] = 400
+    quiet_s: Annotated[float, Meta(ge=0.1, le=60.0)] = 3.5
+
+
 class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
+    """signals: None where the file has no such table, and the sender neither tells nor hears any."""
+
     trail: Trail = Trail()
     list: List = List()
+    signals: Signals | None = None
 
 
 def load(path: str) -> Fleet:
--- a/birchstack/fleet/wire.py
+++ b/birchstack/fleet/wire.py
@@ -1,6 +1,7 @@
 """What a sender answers a keeper that asks for its trail: one typed value, there and back.
 
-Owns the form of the answer. GET /fleet/trail?after=NUMBER&most=BYTES on the operators' door, MessagePack.
+Owns the form of the answer. GET /fleet/trail?after=NUMBER&most=BYTES on the operators' door, MessagePack; a
+POST brings a question for signals along (birchstack.signals.model).
 """
 
 from __future__ import annotations
@@ -37,6 +38,7 @@
     ready: bool = True
     held: int = 0
     frames: bytes = b""
+    signals: bytes = b""  # a signals.model.SignalBatch; nothing where this sender takes no part
 
 
 encode = msgspec.msgpack.Encoder().encode
--- a/birchstack/fleet/witness.py
+++ b/birchstack/fleet/witness.py
@@ -9,7 +9,7 @@
 import dataclasses
 import logging
 from collections.abc import Callable
-from functools import cache
+from functools import cache, partial
 from itertools import chain
 from pathlib import Path
 
@@ -20,6 +20,7 @@
 from birchstack.fleet.records import FORMAT, Acted, Adopted, Ended, Life
 from birchstack.fleet.settings import Fleet
 from birchstack.fleet.shelf import Shelf
+from birchstack.fleet.signalling import Signalling
 from birchstack.fleet.versions import (
     DECISIONS,
     FIRST,
@@ -35,11 +36,12 @@
     digest_of_words,
     judge_list,
 )
+from birchstack.interface import SignalKind
 from birchstack.net.config import Config
 from birchstack.net.log import say
 from birchstack.net.machine import Folder, Machine
 from birchstack.net.operators import Answer
-from birchstack.net.witness import Make, Moment
+from birchstack.net.witness import Make, Moment, Reported
 
 log = logging.getLogger(__name__)
 
@@ -60,7 +62,13 @@
     """The witness of one process."""
 
     def __init__(
-        self, told: Fleet, config: Config, machine: Machine, folder: Folder, moment: Callable[[], Moment]
+        self,
+        told: Fleet,
+        config: Config,
+        machine: Machine,
+        folder: Folder,
+        moment: Callable[[], Moment],
+        reported: Reported,
     ) -> None:
         self._told, self._config, self._machine = told, config, machine
         self._folder, self._moment = folder, moment
@@ -71,6 +79,9 @@
         self._list_ms = 0.0
         self._waiting: dict[str, Adopted] = {}  # adopted before the folder was this process's
         self._refused = 0
+        self._signalling: Signalling | None = None  # none where the fleet's file does not ask for it
+        if told.signals:
+            self._signalling = Signalling(told.signals, self._process, machine.steady_ms, reported)
 
     # What the sender tells
 
@@ -84,6 +95,8 @@
             if self._refused:
                 self._shelf.write(Acted(now, (), self._refused), now)
             self._waiting.clear()
+            if self._signalling:
+                self._signalling.begins()
         if not self._versions:
             for version in (*program(), Version(FORM, "birchstack", "", FORMAT, digest_of(b"%d" % FORMAT))):
                 self._adopt(version, FIRST, "start")
@@ -150,6 +163,13 @@
         now = self._machine.steady_ms()
         self._shelf.write(Acted(now, tuple(chain.from_iterable(calls)), len(refused), tuple(failed)), now)
 
+    def observed(self, endpoint: str, kind: SignalKind, wait_ms: float) -> None:
+        if self._signalling:
+            self._signalling.observed(endpoint, kind, wait_ms)
+
+    def linked(self) -> bool | None:
+        return self._signalling.live() if self._signalling else None
+
     def ended(self) -> None:
         if self._shelf:
             now = self._machine.steady_ms()
@@ -167,9 +187,10 @@
             ("list_age_ms", int(now - self._list_ms) if held else -1),
             ("list_heard_ms", int(self._moment().heard_ms)),
             ("trail_failing", int(self._shelf.failing if self._shelf else 0)),
+            *(self._signalling.figures() if self._signalling else ()),
         ]
 
-    def asked(self, query: dict[str, list[str]]) -> Answer:
+    def asked(self, query: dict[str, list[str]], body: bytes) -> Answer:
         try:
             after, most = (
                 int(query[name][0]) if name in query else usual
@@ -194,6 +215,7 @@
             heard_ms=moment.heard_ms,
             ready=moment.ready,
             held=moment.held,
+            signals=self._signalling.answer(body) if self._signalling else b"",
             **(
                 {
                     "trail": shelf.trail.name,
@@ -211,4 +233,4 @@
 
 
 def maker(told: Fleet) -> Make:
-    return lambda config, machine, folder, moment: Keeping(told, config, machine, folder, moment)
+    return partial(Keeping, told)
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -91,6 +92,34 @@
     kept: bool = True  # whether the connection lies idle now, where the outcome leaves that open
 
 
+class SignalKind(enum.IntEnum):
+    """What a sender saw of an endpoint and tells the other senders; the lower number goes first."""
+
+    WAIT = 1  # the endpoint told a wait
+    SERVED = 2  # a call was served, after failures that this sender saw or was told of
+    FAILED = 3  # a call failed, otherwise than by a refusal
+
+
+MOST_OBSERVERS = 16  # senders whose observations of one endpoint are counted at most
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What the other senders saw of one endpoint lately, summed up. Times in ms; ages are counted by steady
+    clocks, up to now. failed_by: how many senders saw it fail since anybody was last served there, counted up
+    to MOST_OBSERVERS; first_ms, last_ms: ages of the first and the last of those failures. served_ms: age of
+    the last served call, or None. wait_ms: what is left of a wait that the endpoint told; wait_age_ms: since
+    it was told."""
+
+    endpoint: str
+    failed_by: int = 0
+    first_ms: float = 0.0
+    last_ms: float = 0.0
+    served_ms: float | None = None
+    wait_ms: float = 0.0
+    wait_age_ms: float = 0.0
+
+
 class Host(Protocol):
     """What a sender may ask for. Every call takes effect at the time of the turn that is being answered."""
 
@@ -108,6 +137,9 @@
 
     def tell(self, note: str) -> None: ...  # to all other senders, where settings permit it
 
+    def observed(self, endpoint: str, kind: SignalKind, wait_ms: float) -> None:
+        """For the other senders; only called while Events.linked said that signals reach this one."""
+
     def log(self, text: str) -> None: ...
 
 
@@ -141,6 +173,11 @@
 
     def heard(self, now: float, note: str) -> None: ...
 
+    def linked(self, now: float, live: bool) -> None:
+        """Whether signals of other senders reach this one; not until it is told so."""
+
+    def reported(self, now: float, report: Report) -> None: ...
+
     def adopt(self, now: float, settings: Settings) -> None: ...
 
     def turn(self, now: float) -> None: ...
--- a/birchstack/keeper/asking.py
+++ b/birchstack/keeper/asking.py
@@ -18,17 +18,20 @@
 
 
 class Ask:
-    """told(piece, sent_at, problem): the piece, or None and why not; times of the loop in seconds."""
+    """after: records beyond that number; question: for signals, None where the door takes no part.
+    told(piece, sent_at, problem): the piece, or None and why not; times of the loop in seconds."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         where: tuple[str, int],
         after: int,
+        question: bytes | None,
         timeout_s: float,
         told: Callable[[wire.Piece | None, float, str], None],
     ) -> None:
         self._loop, self._where, self._after, self._told = loop, where, after, told
+        self._question = question
         self._reader, self._body = http1.Responses(max_body=BODY), bytearray()
         self._link: Link | None = None
         self._sent_at, self._status, self._over = 0.0, 0, False
@@ -37,7 +40,9 @@
 
     def opened(self, link: Link) -> None:
         self._link, self._sent_at = link, self._loop.time()
-        link.write(http1.request("GET", wire.target(self._after), "{}:{}".format(*self._where)))
+        method = "GET" if self._question is None else "POST"
+        host = "{}:{}".format(*self._where)
+        link.write(http1.request(method, wire.target(self._after), host, body=self._question or b""))
 
     def received(self, data: memoryview) -> None:
         try:
--- a/birchstack/keeper/process.py
+++ b/birchstack/keeper/process.py
@@ -12,11 +12,14 @@
 import sqlite3
 from functools import partial
 
+import msgspec
+
 from birchstack.fleet import lag, wire
 from birchstack.fleet.versions import FIRST, LIST, SAME, Contents, Version, compare
 from birchstack.keeper.asking import Ask
 from birchstack.keeper.collect import Rounds
 from birchstack.keeper.config import Keeper
+from birchstack.keeper.relay import Relay
 from birchstack.keeper.store import Store
 from birchstack.net.discovery import Watch
 from birchstack.net.driver import address
@@ -47,6 +50,7 @@
         self._doors = {door: sender.name for sender in told.senders for door in sender.doors()}
         asks = told.asks
         self._rounds = Rounds([*self._doors], loop.time(), asks.every_s, asks.pause_s, asks.most, chance)
+        self._relay = Relay(asks.signal_bytes)
         self._out: dict[str, Ask] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._committing: asyncio.TimerHandle | None = None
@@ -84,11 +88,11 @@
             if timer:
                 timer.cancel()
         self._commit()
-        say(log, "ended", **self._counts)
+        say(log, "ended", **self._counts, **self._relay.counts)
         self.ended.set_result(None)
 
     def _report(self) -> None:
-        say(log, "state", out=len(self._out), **self._counts)
+        say(log, "state", out=len(self._out), **self._counts, **self._relay.counts)
         self._loop.call_later(REPORT_S, self._report)
 
     # Asking
@@ -104,6 +108,7 @@
                     self._loop,
                     address(at),
                     self._store.wanted(at),
+                    self._relay.question(at, self._machine.steady_ms()),
                     self._told.asks.timeout_s,
                     partial(self._answered, at),
                 )
@@ -125,6 +130,9 @@
             self._rounds.failed(at, now)
         else:
             self._counts["answered"] += 1
+            spent_ms, steady_ms = (now - sent_at) * 1000.0, self._machine.steady_ms()
+            self._relay.answered(at, self._doors.get(at, ""), piece, steady_ms - spent_ms, steady_ms)
+            piece = msgspec.structs.replace(piece, signals=b"")  # they age: nothing to keep
             half_ms = (now - sent_at) * 500.0  # it spoke somewhere between the question and the answer
             try:
                 more = self._store.take(at, piece, self._clock.ms() - half_ms, half_ms)
--- a/birchstack/net/operators.py
+++ b/birchstack/net/operators.py
@@ -22,7 +22,7 @@
 MOST, AT_ONCE = 64, 2  # connections in all; the oldest is cut for a new one; let in at once
 BODY = 4096  # an operator's call brings no more than this
 PREFIX = "balancer"  # of the names of the figures
-TRAIL = ("GET", "/fleet/trail")  # asked by keepers, where BALANCER_FLEET is set
+TRAIL = ("GET", "/fleet/trail"), ("POST", "/fleet/trail")  # by keepers, where BALANCER_FLEET is set
 log = logging.getLogger(__name__)
 
 
@@ -94,7 +94,7 @@
     enable: Callable[[str], Answer]
     drain: Callable[[], Answer]
     undrain: Callable[[], Answer]
-    trail: Callable[[dict[str, list[str]]], Answer] | None = None  # where a record is kept
+    trail: Callable[[dict[str, list[str]], bytes], Answer] | None = None  # where a record is kept
 
 
 class Caller:
@@ -103,6 +103,7 @@
     def __init__(self, door: Door) -> None:
         self._door, self._reader = door, http1.Requests(max_body=BODY)
         self._head: http1.Request | None = None
+        self._body = bytearray()
         self.link: Link | None = None
         self.done = False
 
@@ -118,8 +119,10 @@
                 if isinstance(event, http1.Request):
                     self._head = event
                 elif event is http1.END:
-                    self._say(self._door.answer(self._head))
+                    self._say(self._door.answer(self._head, bytes(self._body)))
                     return
+                elif isinstance(event, bytes):
+                    self._body += event
         except http1.Malformed as problem:
             self._say(Answer(False, f"malformed: {problem}", problem.status))
 
@@ -165,7 +168,7 @@
             caller.cut()
         self._sweeping = self._loop.call_later(0.25, self._sweep)
 
-    def answer(self, head: http1.Request) -> Answer:
+    def answer(self, head: http1.Request, body: bytes = b"") -> Answer:
         """What a whole call is owed; what is not one of the calls is a no, and changes nothing."""
         asked = urllib.parse.parse_qs(head.query, keep_blank_values=True)
         ids = asked.get("id", [])
@@ -180,8 +183,8 @@
         by_id = {("POST", "/endpoints/disable"): calls.disable, ("POST", "/endpoints/enable"): calls.enable}
         key = head.method, head.path
         try:
-            if key == TRAIL and calls.trail:
-                answer = calls.trail(asked)
+            if key in TRAIL and calls.trail:
+                answer = calls.trail(asked, body)
             elif key in plain:
                 answer = plain[key]()
             elif key in by_id and len(ids) == 1 and ids[0]:
@@ -193,7 +196,7 @@
         except Exception:  # a fault of the sender's part must still be answered
             log.exception("an operator's call failed")
             answer = Answer(False, "the call failed", 500)
-        if key not in (("GET", "/ready"), ("GET", "/metrics"), TRAIL):
+        if key not in (("GET", "/ready"), ("GET", "/metrics"), *TRAIL):
             say(
                 log,
                 "operator's call",
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -36,6 +36,7 @@
 NEAR_MS = 100.0  # an answer so shortly before it may count as too late: clocks and sockets lag
 REPORT_S = 60.0
 REMEMBERED = 4096  # answers kept for ids that come again
+LINK_S = 0.5  # whether signals still come is looked at so often
 LOCK, LOOK_S, LAX = "lock", 0.05, 20  # held by the process that sends from the folder; asked for so often
 log = logging.getLogger(__name__)
 
@@ -90,7 +91,10 @@
         self._closing_at: float | None = None
         self._ready = self._handing = False  # handing: another process waits to send what this one holds
         self._unheard: list[tuple[str, list]] = []  # lists, while another process holds the folder
-        self._witness = witness(config, self._machine, folder, self._moment) if witness else None
+        self._linked = False  # whether the decisions were told that signals of other senders come
+        self._witness = (
+            witness(config, self._machine, folder, self._moment, self._reported) if witness else None
+        )
         asked = Asked(
             self._ready_now,
             self._figures,
@@ -123,6 +127,8 @@
         await self._front.open(self._machine, self._config.listen)
         self._look_for_overdue()
         self._loop.call_later(REPORT_S, self._report)
+        if self._witness and self._witness.linked() is not None:
+            self._look_at_the_link()
         self._ready = True
         self._loop.call_later(LOOK_S, self._look_at_the_folder)
         say(
@@ -193,6 +199,7 @@
         self._ledger.close()
         self._ledger = Ledger(self._folder, self._config.disk_bytes)
         self._core, self._holds = Sender(self._config.settings, self._config.seed, self), True
+        self._linked = False  # the decisions begin anew
         self._by_hand.read()  # the other may have been told more meanwhile
         if self._witness:
             self._witness.begins(True)
@@ -497,9 +504,33 @@
     def tell(self, note: str) -> None:
         """Never asked for: the configuration refuses notes, which have no way to other senders here."""
 
+    def observed(self, endpoint: str, kind: our.SignalKind, wait_ms: float) -> None:
+        self._witness.observed(endpoint, kind, wait_ms)
+
     def log(self, text: str) -> None:
         say(log, text)
 
+    # Signals of other senders
+
+    def _reported(self, reports: list[our.Report]) -> None:
+        if not self._holds:  # another process decides
+            return
+        self._link()
+        for report in reports:
+            self._happened(self._core.reported, report)
+
+    def _look_at_the_link(self) -> None:
+        self._link()
+        self._loop.call_later(LINK_S, self._look_at_the_link)
+
+    def _link(self) -> None:
+        """Tells the decisions when signals begin to come, and when they come no more."""
+        live = bool(self._witness.linked())
+        if live != self._linked and self._holds:
+            self._linked = live
+            say(log, "signals of other senders come" if live else "no signals of other senders come")
+            self._happened(self._core.linked, live)
+
     # What operators ask: carried out here, and only reported
 
     def _ready_now(self) -> Answer:
--- a/birchstack/net/witness.py
+++ b/birchstack/net/witness.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from birchstack.interface import Report, SignalKind
 from birchstack.net.config import Config
 from birchstack.net.machine import Folder, Machine
 from birchstack.net.operators import Answer
@@ -39,8 +40,14 @@
     def turn(self, calls: list[tuple[str, str]], refused: list[str], failed: list[str]) -> None:
         """One turn: before the calls (document, endpoint) begin; documents refused and failed in it."""
 
-    def asked(self, query: dict[str, list[str]]) -> Answer:
-        """An operator's call for the trail."""
+    def asked(self, query: dict[str, list[str]], body: bytes) -> Answer:
+        """A keeper's call for the trail; body: its question for signals, or nothing."""
+
+    def observed(self, endpoint: str, kind: SignalKind, wait_ms: float) -> None:
+        """What the decisions saw and tell the other senders."""
+
+    def linked(self) -> bool | None:
+        """Whether signals of other senders reach this one now; None where they never do."""
 
     def figures(self) -> list[tuple[str, object]]:
         """More figures for the operators' door: name and value."""
@@ -49,4 +56,5 @@
         """The process ends by itself, and acts no more."""
 
 
-Make = Callable[[Config, Machine, Folder, Callable[[], Moment]], Witness]
+Reported = Callable[[list[Report]], None]  # what other senders saw, for the decisions
+Make = Callable[[Config, Machine, Folder, Callable[[], Moment], Reported], Witness]
--- a/birchstack/state.py
+++ b/birchstack/state.py
@@ -9,6 +9,7 @@
 from birchstack.interface import BINDING, NUMBERED
 
 SPARE = 64  # lines of keys kept beyond twice those in use
+NEVER = float("-inf")  # before any time: what others saw may be older than this process
 MARK = 6  # letters that stand for an endpoint in notes
 
 
@@ -152,8 +153,21 @@
         self.streak, self.failed_at = 0, now  # failures in a row, and when they began
         self.ill, self.failing, self.doubtful = False, 0.0, 0.0  # moving shares: failed, left in doubt
         self.usual_ms = self.recent_ms = 0.0  # slow and fast moving averages of answer times
-        self.ok_at, self.back_at = -1.0, None  # when it last served, and answered again after an outage
+        self.ok_at, self.back_at = NEVER, None  # when it last served, and answered again after an outage
         self.call, self.blamed = None, 0.0  # made in this turn, others may join; idle time before a time-out
+        self.last_failed_at = NEVER  # when its last call failed, here
+        self.others_failed_at = self.others_served_at = NEVER  # when other senders saw that last, as reported
+        self.others_trusted_at = NEVER  # when it was last taken for back by a report alone
+
+    def hear(self, now: float, report: our.Report) -> int:
+        """Keeps when other senders last saw it serve and fail. Returns how many saw failures that count:
+        those that began after anybody was served, here or there."""
+        if report.served_ms is not None:
+            self.others_served_at = max(self.others_served_at, now - report.served_ms)
+        if report.failed_by:
+            self.others_failed_at = max(self.others_failed_at, now - report.last_ms)
+        counts = now - report.first_ms > max(self.ok_at, self.others_served_at)
+        return report.failed_by if counts else 0
 
     def joinable(self) -> bool:
         return self.call is not None and self.call.docs < self.route.per_call
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -55,7 +55,7 @@
             key_rest_ms=1000.0,
         )
         self.now, self.calls, self.said, self.alarms, self.logs, self.closed = 0.0, [], [], [], [], []
-        self.told, self.come_back = [], {}
+        self.told, self.come_back, self.observations = [], {}, []
         self.number, self.ended, self.outcomes, self.patience = {}, set(), [], []
         self.sender = Sender(our.Settings(**{**words, **settings}), 7, self)
         self.listed(endpoints)
@@ -84,6 +84,9 @@
     def tell(self, note):
         self.told.append(note)
 
+    def observed(self, endpoint, kind, wait_ms):
+        self.observations.append((endpoint, kind, wait_ms))
+
     def log(self, text):
         self.logs.append(text)
 
