--- a/birchstack/emulator/rig/virtual.py
+++ b/birchstack/emulator/rig/virtual.py
@@ -129,6 +129,8 @@
 
 
 class SenderProcess(Process):
+    node: Node | None = None  # of its last life
+
     def _main(self) -> None:
         rig, name = self.rig, self.name
         raw = site.sender(
@@ -144,7 +146,7 @@
         rig.on_known(name, raw["known"])
         told = rig.fleet_file
         config = fleet_settings.room_for(told, decode(raw, {}))
-        node = Node(config, self.loop, FleetMachine(rig, self), witness.maker(told))
+        self.node = node = Node(config, self.loop, FleetMachine(rig, self), witness.maker(told))
         node.ended.add_done_callback(lambda future: self.over("ended"))
         self.loop.create_task(node.start()).add_done_callback(self._started)
 
--- a/birchstack/fleet/witness.py
+++ b/birchstack/fleet/witness.py
@@ -190,6 +190,11 @@
             *(self._signalling.figures() if self._signalling else ()),
         ]
 
+    def _signals(self, moment: Moment, body: bytes) -> bytes:
+        """Nothing before this process is ready: its decisions do not know the list yet, and word of what is
+        not listed would be lost."""
+        return self._signalling.answer(body) if self._signalling and moment.ready else b""
+
     def asked(self, query: dict[str, list[str]], body: bytes) -> Answer:
         try:
             after, most = (
@@ -215,7 +220,7 @@
             heard_ms=moment.heard_ms,
             ready=moment.ready,
             held=moment.held,
-            signals=self._signalling.answer(body) if self._signalling else b"",
+            signals=self._signals(moment, body),
             **(
                 {
                     "trail": shelf.trail.name,
