--- a/benchmarks/capacity/signals.py
+++ b/benchmarks/capacity/signals.py
@@ -24,13 +24,15 @@
 from birchstack.fleet.settings import Signals
 from birchstack.fleet.signalling import Signalling
 from birchstack.fleet.wire import Piece
+from birchstack.keeper.config import Asks
 from birchstack.keeper.relay import Relay
 
 NAME = "signals"
 POINTS, SMALL = (30, 200, 550), (10, 20, 40)
 WAYS = (REFUSED, ERRING, SILENT)
 SEEDS = 2
-KEEPERS, ASK_EVERY_MS, WAY_MS, ROOM = 2, 1000.0, 2.0, 400
+KEEPERS, ASK_EVERY_MS, WAY_MS = 2, 1000.0, 2.0
+ROOM = Asks().signal_bytes
 LINK_EVERY_MS = 500.0
 WELL_S, DOWN_S, BACK_S, STEADY_S = 60.0, 240.0, 60.0, 120.0  # the last of DOWN_S is the steady part
 WARM_UP_MS, COLD_SHARE, WINDOW_MS = 10_000.0, 0.3, 2000.0
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -669,8 +669,8 @@
         from many senders only, and none older than what was served. May hurt where few senders are served."""
         if (ep := self._endpoints.get(report.endpoint)) is None:
             return
-        route, dest = ep.route, ep.route.destination
-        before = ep.ill, route.shared
+        route, before = ep.route, (ep.ill, ep.route.shared)
+        dest, until = route.destination, now + report.wait_ms
         failed_by = ep.hear(now, report)
         if failed_by >= self._quorum(now, route):
             route.shared = True
@@ -684,8 +684,8 @@
             elif route.shared:  # not again so soon: each finds out by itself
                 route.shared = False
                 self._await_trial(now, dest, route, route.trial_ms)
-        if report.wait_ms > 0.0 and now - report.wait_age_ms > ep.ok_at:
-            route.wait_until, ep.failed_at = max(route.wait_until, now + report.wait_ms), now
+        if report.wait_ms and until > route.wait_until + CALL_MS and now - report.wait_age_ms > ep.ok_at:
+            route.wait_until, ep.failed_at = until, now
             self._falls_ill(now, dest, route, ep, FULL)
         self._stirred = self._stirred or before != (ep.ill, route.shared)  # else it frees nothing
 
--- a/birchstack/emulator/rig/parties.py
+++ b/birchstack/emulator/rig/parties.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,12 +19,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Seen:
-    """A call as its endpoint saw it: when its last byte had come, and from whom."""
+    """A call as its endpoint saw it: when its last byte came, from whom, the answer's status (0: none)."""
 
     at_ms: float
     sender: str
     doc: str
     endpoint: str
+    status: int = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,13 +177,17 @@
 
 
 class Endpoints:
-    """Partners' endpoints: each call is noted, then answered. delay_ms, status: by uid, else the usual."""
+    """Partners' endpoints: each call is noted, then answered. status, waits: by uid, else all is well; a
+    status of 0 is no answer."""
 
     def __init__(self, stage, answer_ms: float = 5.0) -> None:
         self.stage, self.answer_ms = stage, answer_ms
         self.calls: list[Seen] = []
         self.status: dict[str, int] = {}
         self.waits: dict[str, float] = {}
+        self.shut_until: dict[str, float] = {}  # by uid; until then each call is told what is left as a wait
+        self.flaky: dict[str, float] = {}  # by uid the share of calls that it answers with an error
+        self.chance = random.Random("flaky endpoints")
 
     def accept(self, uid: str) -> Callable[[str], EndpointPeer]:
         return lambda caller: EndpointPeer(self, uid, caller)
@@ -194,11 +200,18 @@
 
     def asked(self, method: str, target: str, fields: dict[str, str], body: bytes) -> None:
         told = self._endpoints
-        told.calls.append(Seen(told.stage.now_ms(), self._caller, fields["request-id"], self._uid))
         status = told.status.get(self._uid, 200)
-        wait = (
-            {"X-Come-Back-Ms": told.waits[self._uid]} if status == 429 and self._uid in told.waits else None
-        )
+        if self._uid in told.flaky and told.chance.random() < told.flaky[self._uid]:
+            status = 500
+        now_ms = told.stage.now_ms()
+        left_ms = int(told.shut_until.get(self._uid, 0.0) - now_ms)
+        if left_ms > 0:
+            status = 429
+        told.calls.append(Seen(now_ms, self._caller, fields["request-id"], self._uid, status))
+        if not status:
+            return
+        wait_ms = left_ms if left_ms > 0 else told.waits.get(self._uid)
+        wait = {"X-Come-Back-Ms": wait_ms} if status == 429 and wait_ms is not None else None
         told.stage.after(told.answer_ms, self._answer, message(status, wait))
 
     def _answer(self, text: bytes) -> None:
@@ -219,6 +232,7 @@
     sender: str
     destination: int
     at_ms: float
+    kind: str = "sync"
     status: int = 0
     wait_s: float = 0.0
     answered_ms: float = 0.0
@@ -235,7 +249,7 @@
     def hand_in(
         self, sender: str, doc: str, destination: int = 1, kind: str = "sync", left_ms: int = 8000
     ) -> Handed:
-        made = self.handed[doc] = Handed(doc, sender, destination, self.stage.now_ms())
+        made = self.handed[doc] = Handed(doc, sender, destination, self.stage.now_ms(), kind)
         text = (
             f"POST /{kind} HTTP/1.1\r\nHost: api\r\nRequest-Id: {doc}\r\nRequest-Timeout-Ms: {left_ms}\r\n"
             f"X-Consignee: dest={destination}\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello"
--- a/birchstack/emulator/rig/virtual.py
+++ b/birchstack/emulator/rig/virtual.py
@@ -143,6 +143,7 @@
             rig.list.whole(name),
             len(rig.senders),
         )
+        raw["settings"]["rules"] = {**raw["settings"]["rules"], **rig.rules}
         rig.on_known(name, raw["known"])
         told = rig.fleet_file
         config = fleet_settings.room_for(told, decode(raw, {}))
@@ -195,13 +196,17 @@
         endpoints: int = 4,
         destinations: int = 2,
         trail_bytes: int = 400_000,
+        signals: fleet_settings.Signals | None = None,
+        rules: dict | None = None,
     ) -> None:
-        """trail_bytes: may be less than a file could say, so that a short day folds some."""
+        """trail_bytes: may be less than a file could say, so that a short day folds some. signals: the table
+        of the fleet's file. rules: of the senders' settings, in place of the usual ones."""
         self.chance = random.Random(f"virtual rig {seed}")
         self.clock = Clock()
         self.network = Network(self.clock, seed, DELAY_MS, DELAY_MS, 0.0)
         self.stage = Stage(self.clock, self.network)
-        self.fleet_file = fleet_settings.Fleet(fleet_settings.Trail(trail_bytes))
+        self.fleet_file = fleet_settings.Fleet(fleet_settings.Trail(trail_bytes), signals=signals)
+        self.rules = rules or {}
         self.uids = {f"e{at + 1}": at % destinations + 1 for at in range(endpoints)}
         self._places: dict[str, tuple[str, int]] = {}
         self.links: dict[tuple[str, str], Link] = {}
--- a/birchstack/fleet/settings.py
+++ b/birchstack/fleet/settings.py
@@ -35,7 +35,7 @@
     """bytes: of signals in one answer to a keeper. quiet_s: after so many seconds without a keeper's question
     the sender decides as if it were alone (docs/notes/signals.md)."""
 
-    bytes: Annotated[int, Meta(ge=64, le=65536)] = 400
+    bytes: Annotated[int, Meta(ge=64, le=65536)] = 160
     quiet_s: Annotated[float, Meta(ge=0.1, le=60.0)] = 3.5
 
 
--- a/birchstack/keeper/config.py
+++ b/birchstack/keeper/config.py
@@ -44,7 +44,7 @@
     most: Annotated[int, Meta(ge=1, le=4096)] = 32  # asks out at once
     pause_s: Above = 8.0  # the longest pause before a silent door is asked again
     silent_s: Above = 10.0  # a door that has not answered for so long is a finding
-    signal_bytes: Annotated[int, Meta(ge=64, le=3072)] = 400  # of the others' signals in one question
+    signal_bytes: Annotated[int, Meta(ge=64, le=3072)] = 250  # of the others' signals in one question
 
 
 class Keeper(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -517,6 +517,8 @@
             return
         self._link()
         for report in reports:
+            if report.wait_ms > 0.0:  # kept over a restart, as one that was told here
+                self._ledger.told(report.endpoint, self._lasting.ms() + report.wait_ms)
             self._happened(self._core.reported, report)
 
     def _look_at_the_link(self) -> None:
--- a/birchstack/signals/board.py
+++ b/birchstack/signals/board.py
@@ -189,7 +189,7 @@
 
     def news(self, after: Sequences, now_ms: float, room: int) -> tuple[tuple[Evidence, ...], Sequences]:
         """What changed after those numbers, and the numbers to ask with the next time: waits first, then
-        served, then failed calls, the oldest change first, as many as go into so many bytes."""
+        served, then failed calls, the oldest change first, as many as go into so many bytes, one at least."""
         told: dict[str, Evidence] = {}
         numbers = [*after]
         for place, kind in enumerate(SignalKind):
@@ -197,7 +197,7 @@
                 known = None if endpoint in told else self.evidence(endpoint, now_ms)
                 if known is not None:
                     room -= len(encode(known))
-                    if room < 0:
+                    if room < 0 and told:
                         return tuple(told.values()), tuple(numbers)
                     told[endpoint] = known
                 numbers[place] = number
--- a/birchstack/signals/outbox.py
+++ b/birchstack/signals/outbox.py
@@ -64,12 +64,13 @@
 
     def batch(self, now_ms: float, taken: Sequences, room: int) -> SignalBatch:
         """What a keeper has not yet: waits first, then served, then failed calls, the oldest first, as many
-        as go into so many bytes. The rest goes the next time, unless it has grown too old."""
+        as go into so many bytes, one at least. The rest goes the next time, unless it has grown too old."""
         return msgspec.structs.replace(
             self.nothing(now_ms), heard=True, signals=tuple(self._fresh(now_ms, taken, room))
         )
 
     def _fresh(self, now_ms: float, taken: Sequences, room: int) -> Iterator[Signal]:
+        first = True
         for kind, last in zip(SignalKind, taken, strict=True):
             for endpoint, sequence in self._news[kind].after(last):
                 seen = self._held[kind][endpoint]
@@ -78,8 +79,9 @@
                     continue
                 signal = Signal(endpoint, kind, sequence, int(now_ms - seen.at_ms), seen.wait_ms)
                 room -= len(encode(signal))
-                if room < 0:
+                if room < 0 and not first:
                     return
+                first = False
                 yield signal
 
     def _drop(self, kind: SignalKind, endpoint: str) -> None:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -8,6 +8,7 @@
 from birchstack.fleet.settings import Signals
 from birchstack.fleet.signalling import Signalling
 from birchstack.interface import MOST_OBSERVERS, SignalKind
+from birchstack.keeper.config import Asks
 from birchstack.keeper.relay import Relay
 from birchstack.signals import board as boards
 from birchstack.signals import model
@@ -25,7 +26,7 @@
 
 
 def failed(observers, endpoint="a", now=0.0, board=None, age_ms=0):
-    board = board or Board()
+    board = Board() if board is None else board
     for observer in observers:
         board.merge(observer, batch(Signal(endpoint, FAILED, 1, age_ms)), now)
     return board
@@ -187,6 +188,33 @@
     assert seen == [f"e{number}" for number in range(50, MOST + 50)]
 
 
+def test_one_that_is_longer_than_the_room_holds_nothing_up():
+    long = "e" * 250
+    outbox, board = Outbox("life", 0.0), Board()
+    for endpoint in (long, "a"):
+        outbox.note(1.0, endpoint, FAILED, 0.0)
+        failed(["n1"], endpoint, board=board)
+    assert [each.endpoint for each in outbox.batch(2.0, START, 64).signals] == [long]
+    assert [each.endpoint for each in outbox.batch(2.0, (0, 0, 1), 64).signals] == ["a"]
+    told, after = board.news(START, 0.0, 64)
+    assert [each.endpoint for each in told] == [long]
+    assert [each.endpoint for each in board.news(after, 0.0, 64)[0]] == ["a"]
+
+
+def test_with_the_defaults_and_two_keepers_it_is_a_kilobyte_a_second_at_most():
+    pair, sizes = Pair(*(f"n{number}" for number in range(8))), []
+    pair.rounds()
+    for _ in range(20):
+        for place, sender in enumerate(pair.senders.values()):
+            for number in range(200):
+                sender.observed(f"s-5be2a07c-{place}-{number}", FAILED, 0.0)
+        pair.now += 1000.0
+        question = pair.relay.question("n1", pair.now)
+        sizes.append(len(question) + len(pair.senders["n1"].answer(question)))
+        pair.rounds(1)
+    assert 400 < max(sizes) <= 500
+
+
 def test_a_question_counts_only_for_the_process_that_it_was_meant_for_and_while_it_is_fresh():
     question = Question(VERSION, START, "life", 5000.0, 400.0)
     assert delay_ms(question, "life", 5403.0) == 3.0
@@ -208,7 +236,8 @@
     """One keeper's relay and some senders, with a clock by hand."""
 
     def __init__(self, *names):
-        self.now, self.relay, self.heard = 0.0, Relay(400), {name: [] for name in names}
+        self.now, self.relay = 0.0, Relay(Asks().signal_bytes)
+        self.heard = {name: [] for name in names}
         self.senders = {name: self.made(name) for name in names}
 
     def made(self, name, life="1"):
--- a/tests/test_signals_decisions.py
+++ b/tests/test_signals_decisions.py
@@ -136,6 +136,15 @@
     assert story.calls
 
 
+def test_a_wait_that_several_keepers_tell_is_taken_once_and_a_longer_one_again():
+    story = linked()
+    for wait_ms in (6000.0, 5990.0, 6050.0):
+        reported(story, wait_ms=wait_ms)
+    assert len(story.logs) == 1
+    reported(story, wait_ms=9000.0)
+    assert len(story.logs) == 2
+
+
 def test_a_wait_that_was_told_before_an_own_success_is_over():
     story = linked()
     story.at(15_000.0)
--- a/tests/test_signals_rig.py
+++ b/tests/test_signals_rig.py
@@ -100,6 +100,24 @@
     play(tmp_path, story)
 
 
+def test_a_wait_known_by_the_word_of_others_outlives_a_kill(tmp_path):
+    async def story(rig):
+        await linked(rig)
+        rig.endpoints.status["e1"], rig.endpoints.waits["e1"] = 429, 6000
+        rig.clients.hand_in("n1", "first")
+        await says(rig, ["n2", "n3", "n4"], "endpoint ill, 0 failures, last full")
+        shut_ms = rig.endpoints.calls[0].at_ms
+        rig.endpoints.status.clear()
+        await asyncio.gather(*(rig[name].kill() for name in ("k1", "k2", "n2", "n3", "n4")))
+        await asyncio.gather(*(rig[name].start() for name in ("n2", "n3", "n4")))
+        for at, name in enumerate(("n2", "n3", "n4")):
+            rig.clients.hand_in(name, f"d{at}", left_ms=20_000)
+        await rig.until(lambda: len({each.doc for each in rig.endpoints.calls}) == 4, 15.0, "all came")
+        assert min(each.at_ms for each in rig.endpoints.calls[1:]) >= shut_ms + 6000.0
+
+    play(tmp_path, story)
+
+
 def test_when_all_keepers_are_gone_each_decides_alone_and_when_one_is_back_they_are_told_again(tmp_path):
     async def story(rig):
         await linked(rig)
@@ -255,8 +273,9 @@
 
 
 def virtual(seed, **words):
-    rig = VirtualRig(seed, **{"senders": 4, "keepers": 2, "endpoints": 1, "destinations": 1, **words})
-    rig.fleet_file = fleet_settings.decode(ON.encode(), "virtual")
+    signals = fleet_settings.Signals(quiet_s=1.5)
+    words = {"senders": 4, "keepers": 2, "endpoints": 1, "destinations": 1, "signals": signals, **words}
+    rig = VirtualRig(seed, **words)
     rig.start()
     rig.run(3.0)
     return rig
