The witness is the audit log, a keeper's process the collector, in code

Cause: names of the earlier house style in the modules that signals touch. Change: net/witness.py is net/audit.py (AuditLog, MakeAuditLog, SenderStatus), fleet/witness.py is fleet/audit_log.py (FleetAuditLog), keeper.process.Keeping is Collector. Command, files and pages keep their words (keeper, trail); no behaviour changes.

--- a/benchmarks/capacity/audit.py
+++ b/benchmarks/capacity/audit.py
@@ -1,4 +1,4 @@
-"""The trail of one sender, by documents a second: the witness as it ships on a real folder, no sockets.
+"""The trail of one sender, by documents a second: the audit log as it ships on a real folder, no sockets.
 
 x: documents a second. A turn of a sender gathers what came in one pass of its loop, so both ends are
 measured: every document in a turn of its own, and TOGETHER in one turn. SECONDS of such a second's
@@ -14,12 +14,12 @@
 from birchstack.emulator.rig import site
 from birchstack.fleet import settings as fleet_settings
 from birchstack.fleet import wire
+from birchstack.fleet.audit_log import FleetAuditLog
 from birchstack.fleet.records import Damage, scan
-from birchstack.fleet.witness import Keeping
 from birchstack.net import http1
+from birchstack.net.audit import SenderStatus
 from birchstack.net.config import decode
 from birchstack.net.machine import Machine
-from birchstack.net.witness import Moment
 
 NAME = "audit"
 TOGETHER, SECONDS = 5, 20
@@ -37,25 +37,25 @@
 
 
 class Sender:
-    """A witness and its folder, as net.sender.Node holds them."""
+    """An audit log and its folder, as net.sender.Node holds them."""
 
     def __init__(self, folder: str) -> None:
         machine, fleet = Machine(), fleet_settings.Fleet()
         raw = site.sender("n1", "127.0.0.1:9", "127.0.0.1:9", "127.0.0.1:9", folder, 1, {}, 550)
         config = fleet_settings.room_for(fleet, decode(raw, {}))
         self.room = fleet.trail.bytes
-        self.witness = Keeping(
-            fleet, config, machine, machine.folder(folder), lambda: Moment(True, 100, 900.0), print
+        self.audit = FleetAuditLog(
+            fleet, config, machine, machine.folder(folder), lambda: SenderStatus(True, 100, 900.0), print
         )
-        self.witness.begins(True)
-        self.witness.settings(config, "start")
-        self.witness.told({"rev": 1, "all": True, "targets": [site.entry("s-5be2a07c", 1)]}, "127.0.0.1:8500")
+        self.audit.begins(True)
+        self.audit.settings(config, "start")
+        self.audit.told({"rev": 1, "all": True, "targets": [site.entry("s-5be2a07c", 1)]}, "127.0.0.1:8500")
         self.taken, self.wire_bytes, self.records = 0, 0, 0
 
     def asked(self) -> None:
         """A keeper asks until it has all."""
         request = http1.request("GET", wire.target(self.taken), "127.0.0.1:7401")
-        answer = self.witness.asked({"after": [str(self.taken)]}, b"")
+        answer = self.audit.asked({"after": [str(self.taken)]}, b"")
         piece = wire.decode(answer.content)
         frames = [each for each in scan(piece.frames) if not isinstance(each, Damage)]
         self.wire_bytes += len(request) + len(answer.bytes())
@@ -71,7 +71,7 @@
         sender, turns, spent_s = Sender(folder), 0, 0.0
         sender.asked()
         sender.wire_bytes = 0
-        trail, before = 0, sender.witness._shelf.trail
+        trail, before = 0, sender.audit._shelf.trail
         for second in range(seconds):
             for first in range(0, per_second, together):
                 calls = [
@@ -79,12 +79,12 @@
                     for at in range(min(together, per_second - first))
                 ]
                 began = time.process_time()
-                sender.witness.turn(calls, [], [])
+                sender.audit.turn(calls, [], [])
                 spent_s += time.process_time() - began
                 turns += 1
                 trail += len(before.segments[-1].data) - before.segments[-1].offsets[-1]
             sender.asked()
-        sender.witness.ended()
+        sender.audit.ended()
         if sender.records < turns:
             raise ValueError(f"{sender.records} records came of {turns} turns")
         per_s = trail / seconds
--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -2,7 +2,7 @@
 documents.
 
 What is real: the watch and its socket, the decisions, the ledger's code, the turns and their timers, the
-fleet's witness and its records. What is not: the listening sockets (none), the folder (in memory), signals.
+fleet's audit log and its records. What is not: the listening sockets (none), the folder (in memory), signals.
 A hollow one has no client, so it opens no connection to an endpoint either.
 
 Traffic, list handling and memory for each endpoint listed are a real one's (tests/test_capacity_fleet.py).
@@ -30,8 +30,8 @@
 
 from birchstack.emulator.folder import Disk, MemoryFolder
 from birchstack.emulator.rig import site
+from birchstack.fleet import audit_log
 from birchstack.fleet import settings as fleet_settings
-from birchstack.fleet import witness
 from birchstack.net.config import decode
 from birchstack.net.machine import Machine
 from birchstack.net.sender import Node
@@ -88,7 +88,7 @@
 
     def listed(self) -> tuple[int, int, int, str]:
         """Endpoints listed, those that the decisions hold, the version; its digest where a trail is kept."""
-        figures = dict(self._witness.figures()) if self._witness else {}
+        figures = dict(self._audit.figures()) if self._audit else {}
         digest = figures.get("list_digest", "-")
         return len(self._list.entries), len(self._core._endpoints), self._watch._version, digest
 
@@ -108,7 +108,7 @@
     config, make = decode(raw, {}), None
     if fleet:
         told = fleet_settings.Fleet(fleet_settings.Trail(400_000))
-        config, make = fleet_settings.room_for(told, config), witness.maker(told)
+        config, make = fleet_settings.room_for(told, config), audit_log.maker(told)
     return Hollow(config, loop, HollowMachine(), make)
 
 
--- a/benchmarks/signals_days.py
+++ b/benchmarks/signals_days.py
@@ -202,7 +202,7 @@
     node = rig[rig.senders[0]].node
     if node is not None and rig[rig.senders[0]].runs:
         for uid in rig.uids:
-            node._witness.observed(uid, SignalKind.FAILED, 0.0)
+            node._audit.observed(uid, SignalKind.FAILED, 0.0)
 
 
 # What came of it
--- a/birchstack/__main__.py
+++ b/birchstack/__main__.py
@@ -9,24 +9,24 @@
 
 from birchstack import backlog
 from birchstack.net import log
+from birchstack.net.audit import MakeAuditLog
 from birchstack.net.config import Config, ConfigError, load
 from birchstack.net.machine import Machine
 from birchstack.net.overflow import Make as MakeStore
 from birchstack.net.sender import Node
-from birchstack.net.witness import Make
 
 
-def _witness(config: Config) -> tuple[Config, Make | None]:
+def _audit_log(config: Config) -> tuple[Config, MakeAuditLog | None]:
     """Whoever keeps the record, where operators switched it on; what it needs is imported only then."""
     path = os.environ.get("BALANCER_FLEET")
     if not path:
         return config, None
     try:
-        from birchstack.fleet import settings, witness
+        from birchstack.fleet import audit_log, settings
     except ModuleNotFoundError as problem:
         raise ConfigError(f"BALANCER_FLEET: {problem.name} is missing (the extra `fleet`)") from problem
     told = settings.load(path)
-    return settings.room_for(told, config), witness.maker(told)
+    return settings.room_for(told, config), audit_log.maker(told)
 
 
 def _store(config: Config) -> tuple[Config, MakeStore | None]:
@@ -46,8 +46,8 @@
     return dataclasses.replace(config, sockets=sockets), maker.maker(settings.load(path))
 
 
-async def _serve(config: Config, witness: Make | None, store: MakeStore | None) -> None:
-    node = Node(config, asyncio.get_running_loop(), witness=witness, store=store)
+async def _serve(config: Config, audit: MakeAuditLog | None, store: MakeStore | None) -> None:
+    node = Node(config, asyncio.get_running_loop(), audit=audit, store=store)
     await node.start()
     gc.collect()
     gc.freeze()  # what a start leaves behind is never garbage
@@ -58,12 +58,12 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])  # until it has its handler
     log.start()
     try:
-        config, witness = _witness(load())
+        config, audit = _audit_log(load())
         config, store = _store(config)
     except ConfigError as problem:
         print(f"birchstack: configuration: {problem}", file=sys.stderr)
         return 2
-    asyncio.run(_serve(config, witness, store))
+    asyncio.run(_serve(config, audit, store))
     return 0
 
 
--- a/birchstack/emulator/rig/virtual.py
+++ b/birchstack/emulator/rig/virtual.py
@@ -1,8 +1,8 @@
 """A rig in virtual time: the same parties and links, senders and keepers as emulated processes in one.
 
 Owns the emulated processes, their machines and disks. The senders are net.sender.Node with the fleet's
-witness, the keepers keeper.process.Keeping, as they ship; only the machine, the loop and the network below
-them are others.
+audit log, the keepers keeper.process.Collector, as they ship; only the machine, the loop and the network
+below them are others.
 """
 
 from __future__ import annotations
@@ -18,10 +18,10 @@
 from birchstack.emulator.rig.links import Link
 from birchstack.emulator.rig.parties import Clients, Endpoints, Lists
 from birchstack.emulator.virtual import WALL_MS, Stage
+from birchstack.fleet import audit_log
 from birchstack.fleet import settings as fleet_settings
-from birchstack.fleet import witness
 from birchstack.keeper import config as keeper_config
-from birchstack.keeper.process import Keeping
+from birchstack.keeper.process import Collector
 from birchstack.keeper.questions import Reader
 from birchstack.keeper.store import Store
 from birchstack.net.config import decode
@@ -147,7 +147,7 @@
         rig.on_known(name, raw["known"])
         told = rig.fleet_file
         config = fleet_settings.room_for(told, decode(raw, {}))
-        self.node = node = Node(config, self.loop, FleetMachine(rig, self), witness.maker(told))
+        self.node = node = Node(config, self.loop, FleetMachine(rig, self), audit_log.maker(told))
         node.ended.add_done_callback(lambda future: self.over("ended"))
         self.loop.create_task(node.start()).add_done_callback(self._started)
 
@@ -167,7 +167,7 @@
         lists = "{}:{}".format(*rig.link(self.name, "list").where)
         text = site.keeper(self.name, ":memory:", doors, lists, 0.25)
         machine = FleetMachine(rig, self)
-        keeping = Keeping(
+        collector = Collector(
             keeper_config.decode(text.encode(), "virtual"),
             self.loop,
             self.store,
@@ -175,7 +175,7 @@
             LastingClock(machine, self.folder),
             random.Random(rig.chance.getrandbits(32)),
         )
-        keeping.start()
+        collector.start()
 
     def over(self, how: str) -> None:
         super().over(how)
--- a/birchstack/fleet/witness.py
+++ b/birchstack/fleet/audit_log.py
@@ -1,4 +1,4 @@
-"""Keeps one sender's trail, and answers keepers from it: a net.witness.Witness.
+"""Writes one sender's audit log, the trail, and answers keepers from it: a net.audit.AuditLog.
 
 Owns the order "recorded, then acted on". Must never raise into the sender, and never decide about a document;
 whether a list is taken is versions.judge_list's word.
@@ -37,11 +37,11 @@
     judge_list,
 )
 from birchstack.interface import SignalKind
+from birchstack.net.audit import MakeAuditLog, Reported, SenderStatus
 from birchstack.net.config import Config
 from birchstack.net.log import say
 from birchstack.net.machine import Folder, Machine
 from birchstack.net.operators import Answer
-from birchstack.net.witness import Make, Moment, Reported
 
 log = logging.getLogger(__name__)
 
@@ -58,8 +58,8 @@
     )
 
 
-class Keeping:
-    """The witness of one process."""
+class FleetAuditLog:
+    """The audit log of one process. status: what the sender is at; reported: where others' signals go."""
 
     def __init__(
         self,
@@ -67,11 +67,11 @@
         config: Config,
         machine: Machine,
         folder: Folder,
-        moment: Callable[[], Moment],
+        status: Callable[[], SenderStatus],
         reported: Reported,
     ) -> None:
         self._told, self._config, self._machine = told, config, machine
-        self._folder, self._moment = folder, moment
+        self._folder, self._status = folder, status
         self._process, self._boot = machine.unique(), machine.boot()
         self._shelf: Shelf | None = None  # none while another process holds the folder
         self._versions: dict[str, Version] = {}
@@ -185,15 +185,15 @@
             ("list_number", held.number if held else -1),
             ("list_digest", held.digest if held else "-"),
             ("list_age_ms", int(now - self._list_ms) if held else -1),
-            ("list_heard_ms", int(self._moment().heard_ms)),
+            ("list_heard_ms", int(self._status().heard_ms)),
             ("trail_failing", int(self._shelf.failing if self._shelf else 0)),
             *(self._signalling.figures() if self._signalling else ()),
         ]
 
-    def _signals(self, moment: Moment, body: bytes) -> bytes:
+    def _signals(self, status: SenderStatus, body: bytes) -> bytes:
         """Nothing before this process is ready: its decisions do not know the list yet, and word of what is
         not listed would be lost."""
-        return self._signalling.answer(body) if self._signalling and moment.ready else b""
+        return self._signalling.answer(body) if self._signalling and status.ready else b""
 
     def asked(self, query: dict[str, list[str]], body: bytes) -> Answer:
         try:
@@ -205,7 +205,7 @@
             return Answer(False, "after, most: whole numbers are wanted")
         if after < 0 or not 0 <= most <= wire.MOST:
             return Answer(False, f"after, most: from 0 up, most at most {wire.MOST}")
-        moment, shelf = self._moment(), self._shelf
+        status, shelf = self._status(), self._shelf
         if shelf:
             shelf.retry(self._machine.steady_ms())
         piece = wire.Piece(
@@ -217,10 +217,10 @@
             steady_ms=self._machine.steady_ms(),
             versions=self._versions,
             list_ms=self._list_ms,
-            heard_ms=moment.heard_ms,
-            ready=moment.ready,
-            held=moment.held,
-            signals=self._signals(moment, body),
+            heard_ms=status.heard_ms,
+            ready=status.ready,
+            held=status.held,
+            signals=self._signals(status, body),
             **(
                 {
                     "trail": shelf.trail.name,
@@ -237,5 +237,6 @@
         return Answer(True, content=wire.encode(piece))
 
 
-def maker(told: Fleet) -> Make:
-    return partial(Keeping, told)
+def maker(told: Fleet) -> MakeAuditLog:
+    """For net.sender.Node."""
+    return partial(FleetAuditLog, told)
--- a/birchstack/keeper/process.py
+++ b/birchstack/keeper/process.py
@@ -33,7 +33,7 @@
 log = logging.getLogger(__name__)
 
 
-class Keeping:
+class Collector:
     """One keeper from its start to its end."""
 
     def __init__(
@@ -234,7 +234,7 @@
 async def serve(told: Keeper, machine: Machine, folder: str) -> None:
     loop = asyncio.get_running_loop()
     store = Store(told.store, told.store_mb)
-    keeping = Keeping(
+    collector = Collector(
         told,
         loop,
         store,
@@ -242,8 +242,8 @@
         LastingClock(machine, machine.folder(folder)),
         random.Random(machine.unique()),
     )
-    keeping.start()
+    collector.start()
     try:
-        await keeping.ended
+        await collector.ended
     finally:
         store.close()
--- a/birchstack/net/witness.py
+++ b/birchstack/net/audit.py
@@ -1,7 +1,7 @@
-"""What a sender tells whoever keeps the record of what it acts on; without one, nothing of this is done.
+"""What a sender tells its audit log: what it acts on, and what it sees. Without one, nothing of this is done.
 
-Owns the form only. A witness must never raise into the sender, and never hold it up longer than one write to
-its folder takes. The one there is: birchstack.fleet.witness, switched on by BALANCER_FLEET.
+Owns the form only. An audit log must never raise into the sender, and never hold it up longer than one write
+to its folder takes. The one there is: birchstack.fleet.audit_log, switched on by BALANCER_FLEET.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Moment:
+class SenderStatus:
     """What a sender is at, for who asks from outside. heard_ms: since its watch of the list last said
     anything, a beat too."""
 
@@ -26,7 +26,9 @@
     heard_ms: float
 
 
-class Witness(Protocol):
+class AuditLog(Protocol):
+    """Records what a sender acts on before it does, and passes signals on where they are switched on."""
+
     def begins(self, holds: bool) -> None:
         """A process begins, before it acts; holds: the folder is its own. Called again when that becomes
         so."""
@@ -57,4 +59,4 @@
 
 
 Reported = Callable[[list[Report]], None]  # what other senders saw, for the decisions
-Make = Callable[[Config, Machine, Folder, Callable[[], Moment], Reported], Witness]
+MakeAuditLog = Callable[[Config, Machine, Folder, Callable[[], SenderStatus], Reported], AuditLog]
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -14,6 +14,7 @@
 
 from birchstack import interface as our
 from birchstack.decide import NEVER_RAN, Sender
+from birchstack.net.audit import MakeAuditLog, SenderStatus
 from birchstack.net.by_hand import ByHand
 from birchstack.net.calls import Call, Calls
 from birchstack.net.config import Config, ConfigError, fits, load, take_over
@@ -29,7 +30,6 @@
 from birchstack.net.overflow import Make as MakeStore
 from birchstack.net.overflow import Overflow
 from birchstack.net.room import fitted, shares
-from birchstack.net.witness import Make, Moment
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5  # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0  # past its expiry, a document that has no end is overdue
@@ -49,7 +49,7 @@
         config: Config,
         loop: asyncio.AbstractEventLoop,
         machine: Machine | None = None,
-        witness: Make | None = None,
+        audit: MakeAuditLog | None = None,
         store: MakeStore | None = None,
     ) -> None:
         self._machine = machine or Machine()
@@ -82,7 +82,7 @@
         self._connected: list[Call] = []  # calls with their connection: they leave at its end
         self._answers: dict[str, tuple[str, float]] = {}  # by id, for those that come again
         self._by_hand = ByHand(folder, self._lasting.ms)
-        self._refused: list[str] = []  # in this turn, for the witness
+        self._refused: list[str] = []  # in this turn, for the audit log
         self._failed: list[str] = []
         self._counted: Counter[tuple[str, int]] = Counter()  # by type: delivered, refused, failed
         self._reloads, self._untried = [0, 0], Counter()  # found at the start, given up uncalled: by reason
@@ -92,9 +92,7 @@
         self._ready = self._handing = False  # handing: another process waits to send what this one holds
         self._unheard: list[tuple[str, list]] = []  # lists, while another process holds the folder
         self._linked = False  # whether the decisions were told that signals of other senders come
-        self._witness = (
-            witness(config, self._machine, folder, self._moment, self._reported) if witness else None
-        )
+        self._audit = audit(config, self._machine, folder, self._status, self._reported) if audit else None
         asked = Asked(
             self._ready_now,
             self._figures,
@@ -102,7 +100,7 @@
             lambda endpoint: self._by_hand_now(endpoint, False),
             lambda: self._drain(True),
             lambda: self._drain(False),
-            self._witness.asked if self._witness else None,
+            self._audit.asked if self._audit else None,
         )
         self._door = Door(loop, asked, room.callers) if config.ops else None
         self._store, self._overflow = store, None  # documents beyond a window, where operators keep them
@@ -117,9 +115,9 @@
         self._machine.on_signals(self._loop, self.close, self.reload)
         if self._door:
             await self._door.open(self._machine, self._config.ops)
-        if self._witness:
-            self._witness.begins(self._holds)
-            self._witness.settings(self._config, "start")
+        if self._audit:
+            self._audit.begins(self._holds)
+            self._audit.settings(self._config, "start")
         self._watch.start(self._config.known)
         await self._watch.first()
         self._take_up(self._ledger.owed)
@@ -127,7 +125,7 @@
         await self._front.open(self._machine, self._config.listen)
         self._look_for_overdue()
         self._loop.call_later(REPORT_S, self._report)
-        if self._witness and self._witness.linked() is not None:
+        if self._audit and self._audit.linked() is not None:
             self._look_at_the_link()
         self._ready = True
         self._loop.call_later(LOOK_S, self._look_at_the_folder)
@@ -201,8 +199,8 @@
         self._core, self._holds = Sender(self._config.settings, self._config.seed, self), True
         self._linked = False  # the decisions begin anew
         self._by_hand.read()  # the other may have been told more meanwhile
-        if self._witness:
-            self._witness.begins(True)
+        if self._audit:
+            self._audit.begins(True)
         for mode, listed in self._unheard:
             told = [self._by_hand.as_told(entry) for entry in listed]
             self._inbox.append((self._core.endpoints, mode, told))
@@ -226,7 +224,7 @@
         self._happened(self._take_on, handed)
 
     def _told(self, told: dict, source: str) -> bool:
-        return self._witness is None or self._witness.told(told, source)
+        return self._audit is None or self._audit.told(told, source)
 
     def _listed(self, mode: str, listed: list) -> None:
         self._list.apply(mode, listed)
@@ -398,8 +396,8 @@
                 continue
             call.body, call.repeat_key = owed.body, owed.repeat_key
             leaving.append(call)
-        if self._witness and (leaving or self._refused or self._failed):
-            self._witness.turn([(call.doc, call.endpoint) for call in leaving], self._refused, self._failed)
+        if self._audit and (leaving or self._refused or self._failed):
+            self._audit.turn([(call.doc, call.endpoint) for call in leaving], self._refused, self._failed)
         self._refused, self._failed = [], []
         connected, self._connected = self._connected, []
         for call in [*connected, *(each for each in leaving if self._calls.begin(each))]:
@@ -505,7 +503,7 @@
         """Never asked for: the configuration refuses notes, which have no way to other senders here."""
 
     def observed(self, endpoint: str, kind: our.SignalKind, wait_ms: float) -> None:
-        self._witness.observed(endpoint, kind, wait_ms)
+        self._audit.observed(endpoint, kind, wait_ms)
 
     def log(self, text: str) -> None:
         say(log, text)
@@ -527,7 +525,7 @@
 
     def _link(self) -> None:
         """Tells the decisions when signals begin to come, and when they come no more."""
-        live = bool(self._witness.linked())
+        live = bool(self._audit.linked())
         if live != self._linked and self._holds:
             self._linked = live
             say(log, "signals of other senders come" if live else "no signals of other senders come")
@@ -540,8 +538,8 @@
             return Answer(False, "closing", 503)
         return Answer(True, "ready") if self._ready else Answer(False, "starting", 503)
 
-    def _moment(self) -> Moment:
-        return Moment(self._ready_now().yes, len(self._ledger.owed), self._watch.silent_ms())
+    def _status(self) -> SenderStatus:
+        return SenderStatus(self._ready_now().yes, len(self._ledger.owed), self._watch.silent_ms())
 
     def _figures(self) -> Figures:
         types = [kind.name for kind in self._config.settings.types]
@@ -558,7 +556,7 @@
             len(self._list.entries),
             avoided,
             tuple(self._reloads),
-            self._witness.figures() if self._witness else [],
+            self._audit.figures() if self._audit else [],
         )
 
     def _by_hand_now(self, endpoint: str, out: bool) -> Answer:
@@ -591,8 +589,8 @@
         self._config, changed, waits = take_over(fresh, self._config)
         self._front.types = {kind.name: kind.expiry_ms for kind in fresh.settings.types}
         self._calls.idle_ms, self._calls.dial_ms = fresh.idle_ms, fresh.dial_ms
-        if self._witness:
-            self._witness.settings(self._config, "reload")
+        if self._audit:
+            self._audit.settings(self._config, "reload")
         if changed:
             self._happened(self._core.adopt, fresh.settings)
         self._watch.move(fresh.discovery, fresh.kinds)
@@ -640,7 +638,7 @@
         self._calls.close()
         for each in filter(None, (self._overflow, self._door)):
             each.close()
-        if self._witness:
-            self._witness.ended()
+        if self._audit:
+            self._audit.ended()
         if not self.ended.done():
             self.ended.set_result(None)
--- a/tests/fleet_mutants.py
+++ b/tests/fleet_mutants.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from birchstack.emulator.rig.drawn import KINDS, play
-from birchstack.fleet import records, shelf, trail, witness
+from birchstack.fleet import audit_log, records, shelf, trail
 from birchstack.keeper import questions, store
 from tests.mutants import Patch, never
 
@@ -34,19 +34,19 @@
 
 @mutant("a turn is recorded after its calls")
 def _(patch):
-    old = witness.Keeping.turn
+    old = audit_log.FleetAuditLog.turn
 
     def turn(self, calls, refused, failed):
         late, self.late = getattr(self, "late", None), (calls, refused, failed)
         if late:
             old(self, *late)
 
-    patch.set(witness.Keeping, "turn", turn)
+    patch.set(audit_log.FleetAuditLog, "turn", turn)
 
 
 @mutant("an adoption is recorded when something more is adopted")
 def _(patch):
-    old = witness.Keeping._adopt
+    old = audit_log.FleetAuditLog._adopt
 
     def adopt(self, *words, **more):
         if words[0].kind != "list" or words[1] == "first":
@@ -56,13 +56,13 @@
         if late:
             old(self, *late[0], **late[1])
 
-    patch.set(witness.Keeping, "_adopt", adopt)
+    patch.set(audit_log.FleetAuditLog, "_adopt", adopt)
 
 
 @mutant("only the first call of a turn is recorded")
 def _(patch):
-    old = witness.Keeping.turn
-    patch.set(witness.Keeping, "turn", lambda self, calls, *words: old(self, calls[:1], *words))
+    old = audit_log.FleetAuditLog.turn
+    patch.set(audit_log.FleetAuditLog, "turn", lambda self, calls, *words: old(self, calls[:1], *words))
 
 
 @mutant("a number is used twice")
--- a/tests/test_fleet_sender.py
+++ b/tests/test_fleet_sender.py
@@ -171,7 +171,7 @@
 
 def test_without_its_file_nothing_of_the_fleet_is_imported():
     code = (
-        "import sys, birchstack.__main__ as m; m._witness(None); "
+        "import sys, birchstack.__main__ as m; m._audit_log(None); "
         "print([n for n in sys.modules if 'fleet' in n or 'msgspec' in n or 'keeper' in n])"
     )
     told = {name: value for name, value in os.environ.items() if name != "BALANCER_FLEET"}
