--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -32,6 +32,7 @@
     "repeats": "benchmarks.capacity.repeats",
     "repeats-down": "benchmarks.capacity.repeats_down",
     "signals": "benchmarks.capacity.signals",
+    "signals-down": "benchmarks.capacity.signals_down",
 }
 FOLDER = Path("docs/capacity")
 
