Simulations of the decisions share their settings and their host

Cause: alone.py and signals.py held the same settings and the same empty host. Change: benchmarks/capacity/decisions.py has both.

--- a/benchmarks/capacity/alone.py
+++ b/benchmarks/capacity/alone.py
@@ -12,12 +12,13 @@
 import random
 from dataclasses import dataclass
 
+from benchmarks.capacity.decisions import EXPIRY_MS, QuietHost, settings
 from birchstack import interface as our
 from birchstack.decide import Sender
 
 EVENTS, DESTINATIONS, DOWN = 560_000.0, 36_000, 1_692  # a second, of all senders; the target's
 PLAYED = 200  # destinations in the play: a pair's rate is the target's
-ANSWER_MS, EXPIRY_MS, AGREED_MS = 60.0, 20_000.0, 2_000.0
+ANSWER_MS = 60.0
 REFUSED, ERRING, SILENT = "refused", "erring", "silent"  # at once; after the usual time; never
 WAYS = (REFUSED, ERRING, SILENT)
 
@@ -49,7 +50,7 @@
         return self.firsts + self.trials + self.repeats
 
 
-class Alone:
+class Alone(QuietHost):
     """The host of one sender: time, destinations, documents."""
 
     def __init__(
@@ -58,28 +59,7 @@
         """endpoints: of each destination; of one that is down the first endpoint alone is."""
         self._senders, self._way, self.now = senders, way, 0.0
         self._chance = random.Random(f"alone {seed} {senders} {share_down} {way}")
-        kind = our.DocumentType("sync", our.REPLAYABLE, AGREED_MS, EXPIRY_MS, 1.0, 0.4, False, 0.0, False)
-        self._sender = Sender(
-            our.Settings(
-                types=(kind,),
-                slots=512,
-                max_held=100_000,
-                max_transmissions=6,
-                senders=senders,
-                calls_per_connection=1,
-                per_call=(1,),
-                routes_apart=(False,),
-                rates_listed=False,
-                list_on_request=False,
-                retry_after_ms=3000.0,
-                cold_share=0.3,
-                warm_up_ms=10_000.0,
-                key_rest_ms=1000.0,
-                notes=False,
-            ),
-            seed,
-            self,
-        )
+        self._sender = Sender(settings(senders), seed, self)
         self._played, self._down = played, max(1, round(played * share_down))
         self.pair_ms = 1000.0 / (EVENTS / DESTINATIONS / senders)  # from one document to the next
         self._heap: list[tuple[float, int, tuple]] = []
@@ -164,15 +144,3 @@
 
     def wake(self, after_ms: float) -> None:
         self._alarm = min(self._alarm, self.now + max(after_ms, 0.02))
-
-    def close_idle(self, endpoint: str) -> None:
-        pass
-
-    def subscribe(self) -> None:
-        pass
-
-    def tell(self, note: str) -> None:
-        pass
-
-    def log(self, text: str) -> None:
-        pass
--- a/benchmarks/capacity/signals.py
+++ b/benchmarks/capacity/signals.py
@@ -17,7 +17,8 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 
-from benchmarks.capacity.alone import ANSWER_MS, DESTINATIONS, ERRING, EVENTS, EXPIRY_MS, REFUSED, SILENT
+from benchmarks.capacity.alone import ANSWER_MS, DESTINATIONS, ERRING, EVENTS, REFUSED, SILENT
+from benchmarks.capacity.decisions import COLD_SHARE, EXPIRY_MS, WARM_UP_MS, QuietHost, settings
 from birchstack import interface as our
 from birchstack.decide import Sender
 from birchstack.emulator.destinations import most_calls
@@ -35,7 +36,7 @@
 ROOM = Asks().signal_bytes
 LINK_EVERY_MS = 500.0
 WELL_S, DOWN_S, BACK_S, STEADY_S = 60.0, 240.0, 60.0, 120.0  # the last of DOWN_S is the steady part
-WARM_UP_MS, COLD_SHARE, WINDOW_MS = 10_000.0, 0.3, 2000.0
+WINDOW_MS = 2000.0  # in which calls of a cold destination are counted
 RATE = EVENTS / DESTINATIONS  # documents a second for the destination, of all senders
 ENDPOINT = "s-5be2a07c"
 FIGURES = {
@@ -72,7 +73,7 @@
     cpu_s: float = 0.0
 
 
-class Member:
+class Member(QuietHost):
     """One sender of the fleet: the host of its decisions, and its part in the signals."""
 
     def __init__(self, fleet: Fleet, number: int) -> None:
@@ -80,25 +81,7 @@
         self.linked = False
         self.signalling = Signalling(Signals(), f"{number:016x}", lambda: fleet.now, self._reported)
         self.signalling.begins()
-        kind = our.DocumentType("sync", our.REPLAYABLE, 2000.0, EXPIRY_MS, 1.0, 0.4, False, 0.0, False)
-        settings = our.Settings(
-            types=(kind,),
-            slots=512,
-            max_held=100_000,
-            max_transmissions=6,
-            senders=fleet.senders,
-            calls_per_connection=1,
-            per_call=(1,),
-            routes_apart=(False,),
-            rates_listed=False,
-            list_on_request=False,
-            retry_after_ms=3000.0,
-            cold_share=COLD_SHARE,
-            warm_up_ms=WARM_UP_MS,
-            key_rest_ms=1000.0,
-            notes=False,
-        )
-        self.core = Sender(settings, fleet.chance.getrandbits(32), self)
+        self.core = Sender(settings(fleet.senders), fleet.chance.getrandbits(32), self)
         self.core.endpoints(0.0, our.WHOLE, [our.Endpoint(ENDPOINT, 1, "a", 0, our.READY, 0.0)])
         self.core.turn(0.0)
 
@@ -131,24 +114,6 @@
     def wake(self, after_ms: float) -> None:
         self.fleet.later(max(after_ms, 0.02), self.turn)
 
-    def reject(self, doc_id: str, retry_after_ms: float) -> None:
-        pass
-
-    def abandon(self, doc_id: str) -> None:
-        pass
-
-    def close_idle(self, endpoint: str) -> None:
-        pass
-
-    def subscribe(self) -> None:
-        pass
-
-    def tell(self, note: str) -> None:
-        pass
-
-    def log(self, text: str) -> None:
-        pass
-
 
 class Fleet:
     """All senders, one destination, the keepers, and the time."""
