--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -249,12 +249,12 @@
 
 @mutant("documents of one key go out of turn")
 def _(patch):
-    patch.set(decide.Keyline, "allows", lambda *words: True)
+    patch.set(state.Keyline, "allows", lambda *words: True)
 
 
 @mutant("a key in doubt does not rest", KEYED)
 def _(patch):
-    patch.set(decide.Keyline, "rest_until", property(lambda self: 0.0, never))
+    patch.set(state.Keyline, "rest_until", property(lambda self: 0.0, never))
 
 
 @mutant("what is in doubt is rejected, not abandoned")
