Two names that the renaming hit by mistake; dead state and missing docstrings of signals

No behaviour was changed by it. Change: they are PausedCall and TimelineEvent; signals.News loses a field and a method that nobody used; docstrings on what signals keep.

--- a/birchstack/keeper/questions.py
+++ b/birchstack/keeper/questions.py
@@ -119,7 +119,9 @@
     at_ms: float
 
 
-class SenderStatus(msgspec.Struct, frozen=True, order=True):
+class TimelineEvent(msgspec.Struct, frozen=True, order=True):
+    """One row of the timeline; at_ms: the keeper's time."""
+
     at_ms: float
     sender: str
     what: str
@@ -428,23 +430,23 @@
         last = {each.sender: each for each in self.verdicts()}
         return sorted(each for each in last.values() if each.what != lag.WELL)
 
-    def timeline(self, from_ms: float = 0.0, to_ms: float | None = None) -> list[SenderStatus]:
+    def timeline(self, from_ms: float = 0.0, to_ms: float | None = None) -> list[TimelineEvent]:
         found = [
-            SenderStatus(each.at_ms, "list service", "published", f"{each.version()} {each.ord}")
+            TimelineEvent(each.at_ms, "list service", "published", f"{each.version()} {each.ord}")
             for each in self.published()
         ]
         for sender, boot, at, life in self._rows("SELECT sender, boot, steady_ms, life FROM life"):
-            found.append(SenderStatus(self.at(boot, at), sender, "began", f"life {life}"))
+            found.append(TimelineEvent(self.at(boot, at), sender, "began", f"life {life}"))
         for sender, boot, at, life in self._rows(
             "SELECT sender, boot, ended_ms, life FROM life WHERE ended_ms IS NOT NULL"
         ):
-            found.append(SenderStatus(self.at(boot, at), sender, "ended", f"life {life}"))
+            found.append(TimelineEvent(self.at(boot, at), sender, "ended", f"life {life}"))
         for sender, boot, at, kind, origin, epoch, number, digest, order, source, taken in self._rows(
             "SELECT sender, boot, steady_ms, kind, origin, epoch, version, digest, ord, source, taken "
             "FROM adoption"
         ):
             found.append(
-                SenderStatus(
+                TimelineEvent(
                     self.at(boot, at),
                     sender,
                     "adopted" if taken else "did not take",
@@ -452,12 +454,12 @@
                 )
             )
         found += [
-            SenderStatus(each.at_ms, each.sender or "the fleet", "verdict", f"{each.what}: {each.evidence}")
+            TimelineEvent(each.at_ms, each.sender or "the fleet", "verdict", f"{each.what}: {each.evidence}")
             for each in self.verdicts()
         ]
         for each in self.unknown():
             found.append(
-                SenderStatus(
+                TimelineEvent(
                     each.from_ms,
                     each.sender,
                     "unknown",
@@ -465,7 +467,7 @@
                 )
             )
         found += [
-            SenderStatus(each.at_ms, each.sender, "finding", f"{each.kind}: {each.detail}")
+            TimelineEvent(each.at_ms, each.sender, "finding", f"{each.kind}: {each.detail}")
             for each in self.findings()
         ]
         to_ms = self.now if to_ms is None else to_ms
@@ -611,8 +613,8 @@
         ] or told
         return sorted({(each.sender, each.what): each for rows in sound for each in rows}.values())
 
-    def timeline(self, from_ms: float = 0.0, to_ms: float | None = None) -> list[SenderStatus]:
-        seen: dict[tuple, SenderStatus] = {}
+    def timeline(self, from_ms: float = 0.0, to_ms: float | None = None) -> list[TimelineEvent]:
+        seen: dict[tuple, TimelineEvent] = {}
         for each in (
             row for rows in self._each(lambda reader: reader.timeline(from_ms, to_ms)) for row in rows
         ):
--- a/birchstack/signals/board.py
+++ b/birchstack/signals/board.py
@@ -33,12 +33,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Observed:
+    """One observation as a keeper holds it; at_ms by the keeper's steady clock."""
+
     life: str
     sequence: int
     at_ms: float
     wait_ms: int
 
     def lasts_until(self) -> float:
+        """When it counts no more: at the end of a wait, else by its age."""
         return self.at_ms + (self.wait_ms or LIFETIME_MS)
 
 
@@ -55,9 +58,11 @@
     wait_until: float = float("-inf")
 
     def observers(self) -> int:
+        """How many senders it rests on, of whatever kind and life."""
         return len({observer for seen in self.seen.values() for observer in seen})
 
     def lasts_until(self) -> float:
+        """When the last of its observations counts no more."""
         return max(each.lasts_until() for seen in self.seen.values() for each in seen.values())
 
 
--- a/birchstack/signals/news.py
+++ b/birchstack/signals/news.py
@@ -12,20 +12,18 @@
 
     def __init__(self) -> None:
         self._numbers: OrderedDict[str, int] = OrderedDict()
-        self.last = 0
-
-    def __len__(self) -> int:
-        return len(self._numbers)
 
     def changed(self, key: str, number: int) -> None:
         """number: above all given before."""
-        self._numbers[key] = self.last = number
+        self._numbers[key] = number
         self._numbers.move_to_end(key)
 
     def forget(self, key: str) -> None:
+        """Does nothing where there is no such key."""
         self._numbers.pop(key, None)
 
     def oldest(self) -> str:
+        """The key that changed longest ago. Raises StopIteration where there is none."""
         return next(iter(self._numbers))
 
     def after(self, number: int) -> Iterator[tuple[str, int]]:
--- a/birchstack/signals/outbox.py
+++ b/birchstack/signals/outbox.py
@@ -29,10 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Observation:
+    """What this sender saw of one endpoint, and when, by its steady clock."""
+
     at_ms: float
     wait_ms: int = 0
 
     def lasts_until(self) -> float:
+        """When it is told of no more: at the end of a wait, else by its age."""
         return self.at_ms + (self.wait_ms or LIFETIME_MS)
 
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -54,7 +54,7 @@
 # A call and what its endpoint does in the moment of its writing
 
 
-class SenderStatus:
+class PausedCall:
     """A call that has its connection and is not written: the loop stands still while the endpoint acts."""
 
     async def __aenter__(self):
@@ -111,7 +111,7 @@
 @pytest.mark.parametrize("how, kind", [("dialled", our.CONNECT_FAILED), ("resting", our.UNSENT)])
 def test_a_call_is_not_written_after_what_its_endpoint_said_before(how, kind, act):
     async def whole():
-        async with SenderStatus() as moment:
+        async with PausedCall() as moment:
             await getattr(moment, how)()
             written = moment.calls.transmitted
             ACTS[act](moment.endpoint)
@@ -126,7 +126,7 @@
 
 def test_a_call_whose_connection_is_reset_in_the_moment_of_its_writing_never_left():
     async def whole():
-        async with SenderStatus() as moment:
+        async with PausedCall() as moment:
             await moment.resting()
             line, written = moment.line(), moment.calls.transmitted
             assert moment.calls.waiting(moment.call)
