A test of expiries moves its clock by hand: the sum of two real ones is rounded

Expiries are wall clock in ms, about 1.8e12, where neighbouring floats lie 0.00024 ms apart; the test asked that the rounded sum of two clocks be not one step below the exact one. The sender was right. Change: the test moves the steady clock itself, 400 ms in the turn, and wants the expiry within 0.001 ms of its time on both sides (before: no less than it, and less than 200 ms more).

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -170,12 +170,24 @@
     node.run(story)
 
 
-def test_an_expiry_on_disk_counts_from_the_beginning_of_a_long_turn(node):
+def test_an_expiry_on_disk_counts_from_the_beginning_of_a_long_turn(node, monkeypatch):
+    steady = 5_000_000.0  # moved by hand: the sum of two real clocks is rounded, by the wall clock's size
+    monkeypatch.setattr(node._machine, "steady_ms", lambda: steady)
+    monkeypatch.setattr(node, "clock", lambda: steady - 4_000_000.0)
+
     async def story():
+        nonlocal steady
         turn, began = node._core.turn, node._lasting.ms()
-        node._core.turn = lambda now: (turn(now), time.sleep(0.4))
+
+        def long_turn(now):
+            nonlocal steady
+            turn(now)
+            steady += 400.0
+
+        node._core.turn = long_turn
         node._inbox.append((node._take_on, Handed(left_ms=5040.0)))
         node._turn()
-        assert began + 5000.0 <= node._ledger.owed["d"].expiry < began + 5200.0
+        assert steady == 5_000_400.0
+        assert node._ledger.owed["d"].expiry == pytest.approx(began + 5000.0, rel=0.0, abs=0.001)
 
     node.run(story)
