What is down or warming up outlasts the process, with the usual rate there

Cause: that a destination was away was forgotten with a process. Change: the decisions tell their host when an endpoint goes down, comes back or is warm (Host.remember), and a new process hands them what the one before knew (Events.recover): stage, age, and the documents and time that the usual rate comes from. net/recoveries.py keeps it in lines of the ledger, net/recollection.py hands it over once a list names the endpoint. Ages count by the clock that outlasts the process; where it is not to be trusted, or a line is torn or spoilt, the ramp begins again. What a full disk did not take is written later. Documents found are not counted into a rate that was found too. The whole test command has not been run on this yet.

--- a/birchstack/adapter/wire.py
+++ b/birchstack/adapter/wire.py
@@ -68,6 +68,9 @@
     def observed(self, endpoint: str, kind: our.SignalKind, wait_ms: float) -> None:
         """Never called: the simulator's senders talk by notes."""
 
+    def remember(self, recovery: our.Recovery) -> None:
+        """Nothing outlasts a process here."""
+
     def log(self, text: str) -> None:
         self._act("sayLog", reasonText=text)
 
@@ -143,17 +146,15 @@
         """The sender's method for one event, with its words; None where the event asks for none."""
         sender = instance.sender
         if event == "inbound":
-            return (
-                sender.document,
-                now,
+            given = our.Submission(
                 fields["txn"],
                 fields["boundFor"],
                 fields["service"],
                 fields["timeBudgetMs"],
                 fields.get("subject") or None,
-                our.NO_PAST,
-                fields.get("userGroup") or None,
+                tenant=fields.get("userGroup") or None,
             )
+            return sender.document, now, given
         if event == "settled":
             if fields["how"] not in OUTCOMES:
                 raise WireError(f"unknown outcome {fields['how']!r}")
--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -83,16 +83,13 @@
         if now < until or not self.limit:
             return max(0.0, until - now)
         room = self.room if now - self.room_at < ROOM_MS else 1.0
-        pace = max(
-            self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM)), min(LEAST_PACE, least)
-        )
+        shared = self.limit * self.share * min(1.0, max(LITTLE_ROOM, room / ENOUGH_ROOM))
+        pace = max(shared, min(LEAST_PACE, least))
         return self.meter.wait_ms(now, pace, max(1.0, pace * BURST))
 
     def troubled(self, now: float) -> bool:
-        return any(
-            ep.state == READY and (ep.ill or ep.recent_ms > SLOW * ep.usual_ms or overdue(ep, now))
-            for ep in self.endpoints
-        )  # ill, slow or late
+        ready = (ep for ep in self.endpoints if ep.state == READY)  # ill, slow or late
+        return any(ep.ill or ep.recent_ms > SLOW * ep.usual_ms or overdue(ep, now) for ep in ready)
 
     def grow(self, now: float, own: float, top: float) -> None:
         step = own * (STEP + STEP_ALONE * own) * min(1.0, (now - self.steered_at) / 1000.0)
@@ -107,7 +104,7 @@
 
 class Destination:  # its line of documents, the bucket for repeats and the window
     def __init__(self, number: int, settings: our.Settings, turn: int, now: float) -> None:
-        self.number, self.since, self.found = number, now, False
+        self.number, self.since, self.found, self.recovered = number, now, False, False
         self.taken = self.failed = self.kept = 0  # kept: on disk
         self.routes: list[Route] = []
         self.line: list[Document] = []
@@ -176,6 +173,7 @@
                 self._regroup(now, ep.route.destination)
             if ep.state == our.DRAINING and entry.state == READY:  # a whole list tells no return
                 ep.back_at = now
+                self._host.remember(ep.recovery(now, our.RecoveryStage.WARMING, now))
             ep.state = entry.state
         for ep in [ep for ep in self._endpoints.values() if ep.state == our.GONE]:
             del self._endpoints[ep.name]
@@ -187,34 +185,25 @@
         if len(self._destinations) > len(self._endpoints) + FORGET:
             self._destinations = {each: dest for each, dest in self._destinations.items() if dest.used(now)}
 
-    def document(
-        self,
-        now: float,
-        doc_id: str,
-        destination: int,
-        type_name: str,
-        left_ms: float,
-        key: str | None,
-        past: our.Past = our.NO_PAST,
-        tenant: str | None = None,
-    ) -> None:
+    def document(self, now: float, given: our.Submission) -> None:
         self._order, self._stirred = self._order + 1, True
-        dest = self._destination(destination, now)
-        dest.taken, dest.failed = dest.taken + 1, dest.failed + past.failed
+        dest, past, tenant = self._destination(given.destination, now), given.past, given.tenant
+        dest.taken += not (dest.recovered and past is not our.NO_PAST)
+        dest.failed += past.failed
         dest.found = dest.found or past is not our.NO_PAST
         if past.failed:
-            self._failed[destination] = dest
-        doc = Document(doc_id, self._types[type_name], dest, now, left_ms, self._order, past)
+            self._failed[dest.number] = dest
+        doc = Document(given, self._types[given.type_name], dest, now, self._order)
         if tenant in self._quotas:  # beyond its share by its own documents times the senders: worth less
             taken = self._traffic.setdefault(tenant, Ring(-BUCKETS * BUCKET_MS, BUCKET_MS, BUCKETS))
             taken.add(now)
             beyond = max(0.0, 1.0 - self._quotas[tenant] / (taken.rate(now) * self._set.senders))
             doc.worth = 1.0 - beyond * (1.0 - self._set.over_share)
-        if key is not None and doc.kind.in_order:
-            doc.keyline = self._keys.join(now, key, doc)
+        if given.key is not None and doc.kind.in_order:
+            doc.keyline = self._keys.join(now, given.key, doc)
             if doc.doubt:  # what was out when its sender ended may still run
                 doc.keyline.rest(now + self._set.key_rest_ms, doc)
-        self._held[doc_id], doc.path = doc, self._deliver(doc)
+        self._held[doc.id], doc.path = doc, self._deliver(doc)
         self._resume(now, doc, None)
 
     def outcome(self, now: float, doc_id: str, endpoint: str, outcome: our.Outcome) -> None:
@@ -227,9 +216,7 @@
         call.docs -= 1
         if outcome.wait_ms > 0:
             call.ep.route.wait_until = max(call.ep.route.wait_until, now + outcome.wait_ms)
-            if (
-                self._linked and outcome.wait_ms > LONG_WAIT_MS
-            ):  # a shorter one is a limit's span: not for all
+            if self._linked and outcome.wait_ms > LONG_WAIT_MS:  # a shorter one is a limit's span
                 self._host.observed(call.ep.name, our.SignalKind.WAIT, outcome.wait_ms)
         if call.docs == 0:
             self._hang_up(now, doc.destination, call, outcome.kind, outcome.kept)
@@ -248,12 +235,25 @@
             self._destinations[number] = Destination(number, self._set, self._begin + number, now)
         return self._destinations[number]
 
-    def recall(self, now: float, endpoint: str, wait_ms: float, back_ms: float) -> None:  # of the one before
-        if ep := self._endpoints.get(endpoint):  # a wait told, and how long ago it was back from a drain
+    def recall(self, now: float, endpoint: str, wait_ms: float) -> None:  # told to the process before
+        if ep := self._endpoints.get(endpoint):
             ep.route.wait_until = max(ep.route.wait_until, now + wait_ms)
             if wait_ms > LONG_WAIT_MS:
                 self._falls_ill(now, ep.route.destination, ep.route, ep, FULL)
-            ep.back_at = now - back_ms if back_ms >= 0.0 else ep.back_at
+
+    def recover(self, now: float, known: our.Recovery) -> None:
+        """Guards against a process that pushes over what the one before it found down or cold. May hurt an
+        endpoint that came back or warmed up while no process ran: one call first, then the ramp."""
+        if (ep := self._endpoints.get(known.endpoint)) is None:
+            return
+        route, dest = ep.route, ep.route.destination
+        if known.span_ms > 0.0:  # what a restart found was counted by the process that took it on
+            dest.taken, dest.since, dest.recovered = known.documents, now - known.span_ms, True
+        if known.stage == our.RecoveryStage.DOWN:
+            ep.ill, ep.back_at, route.ill_at = True, None, now - known.age_ms
+            self._await_trial(now, dest, route, TRIAL_MS)  # by chance: many may restart together
+        else:
+            ep.back_at, route.ramp = now - known.age_ms, Meter(now, self._draw(0.0, 1.0))
 
     def avoided(self) -> list[str]:  # for the figures: listed as ready, yet only trials go there
         return [ep.name for ep in self._endpoints.values() if ep.ill and ep.state == READY]
@@ -333,15 +333,11 @@
     # The two doors: everything sent and everything answered passes here, with the rules on guard
 
     def _barred(self, now: float, doc: Document, ep: Place) -> bool:  # a rule forbids this transmission
-        if (
-            doc.over
-            or doc.lost()
-            or now >= min(doc.expiry, doc.known_until() - CALL_MS)
-            or ep.state != READY
-            or now < ep.route.wait_until
-            or doc.keyline
-            and not doc.keyline.allows(doc, now)
-        ):
+        if doc.over or doc.lost() or now >= min(doc.expiry, doc.known_until() - CALL_MS):
+            return True
+        if ep.state != READY or now < ep.route.wait_until:
+            return True
+        if doc.keyline and not doc.keyline.allows(doc, now):
             return True
         return doc.known_until() < float("inf") and doc.kind.one_zone and ep.zone != doc.doubt[0][1]
 
@@ -466,11 +462,10 @@
                 self._wake(now, now + wait_ms)
                 continue
             for ep in [each for each in route.endpoints if each.state == READY]:
+                tried = ep.ill and any(each.trials for each in route.endpoints)
                 if ep.ill and now < route.trial_at:
                     self._wake(now, route.trial_at)
-                elif not (ep.ill and any(each.trials for each in route.endpoints)) and self._ramped(
-                    now, dest, route, ep
-                ):
+                elif not tried and self._ramped(now, dest, route, ep):
                     (trials if ep.ill else places).append(ep)
         count = sum(len(route.endpoints) for route in dest.routes)  # where a connection lies idle first
         places.sort(key=lambda ep: (len(ep.calls), not ep.idle, (ep.number - dest.turn) % count))
@@ -488,6 +483,8 @@
         back_at = state.last_back(route.endpoints if ep.ill else [ep])
         warm = 1.0 if back_at is None else (now - back_at) / self._set.warm_up_ms
         if warm >= 1.0:
+            if not ep.ill and ep.back_at is not None:
+                self._host.remember(ep.recovery(now, our.RecoveryStage.WARM, now))
             ep.back_at = None
             return True
         share = self._set.cold_share + (1.0 - self._set.cold_share) * warm
@@ -512,10 +509,8 @@
 
     def _opens(self, now: float, dest: Destination) -> float:  # to calls; inf: no place is ready there
         routes = [route for route in dest.routes if any(ep.state == READY for ep in route.endpoints)]
-        return min(
-            (max(route.wait_until, route.hold_until) for route in routes),
-            default=float("inf") if self._sure and dest.routes else now,
-        )
+        unlisted = float("inf") if self._sure and dest.routes else now
+        return min((max(route.wait_until, route.hold_until) for route in routes), default=unlisted)
 
     def room(self, destination: int, window: int, lines: int, kept: int) -> int:
         """How many more of a destination's documents are wanted of a host that keeps long lines on disk: a
@@ -609,6 +604,8 @@
         route.ill_at = route.ill_at if any(each.ill for each in route.endpoints) else now
         for each in route.endpoints:  # a shut destination is shut at all its endpoints
             if each is ep or route.row - route.refused >= STREAK or why == FULL and each.ok_at < ep.failed_at:
+                if not each.ill:
+                    self._host.remember(each.recovery(now, our.RecoveryStage.DOWN, route.ill_at))
                 each.ill, each.back_at = True, None
         self._await_trial(now, dest, route, TRIAL_MS)
         self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
@@ -740,6 +737,7 @@
             if each is ep or (each.streak or route.row >= BRIEF) and not each.ill:
                 each.ill, each.back_at = False, back_at
                 each.word.clear()
+                self._host.remember(each.recovery(now, our.RecoveryStage.WARMING, back_at))
         self._host.log(f"destination {dest.number}: endpoint back, {dest.rate(now):.2f} documents/s")
 
     def _patience(self, ep: Place, doc: Document) -> float:
--- a/birchstack/emulator/rig/parties.py
+++ b/birchstack/emulator/rig/parties.py
@@ -9,11 +9,13 @@
 
 import json
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
 
+from birchstack.emulator.destinations import most_calls
 from birchstack.emulator.peers import Server, message
 
 
@@ -176,6 +178,35 @@
         self.drop()
 
 
+@dataclass(slots=True)
+class ColdReturn:
+    """What an endpoint bears that is back since back_ms: a share of its usual calls a second that rises to
+    all of them in the warm-up time, counted over each span. Above it, it falls over and answers nobody."""
+
+    back_ms: float
+    usual: float
+    warm_up_ms: float
+    share: float = 0.3
+    span_ms: float = 2000.0
+    fallen_ms: float | None = None
+    fullest: float = 0.0  # calls of the fullest span, as a part of what it bears
+    arrivals: deque[float] = field(default_factory=deque)
+
+    def stands(self, now_ms: float) -> bool:
+        """Counts a call; False once it has fallen over."""
+        warm = (now_ms - self.back_ms) / self.warm_up_ms
+        if self.fallen_ms is not None or not 0.0 <= warm < 1.0:
+            return self.fallen_ms is None
+        self.arrivals.append(now_ms)
+        while self.arrivals[0] <= now_ms - self.span_ms:
+            self.arrivals.popleft()
+        share = self.share + (1.0 - self.share) * warm
+        part = len(self.arrivals) / most_calls(self.usual * share * self.span_ms / 1000.0)
+        self.fullest = max(self.fullest, part)
+        self.fallen_ms = now_ms if part > 1.0 else None
+        return part <= 1.0
+
+
 class Endpoints:
     """Partners' endpoints: each call is noted, then answered. status, waits: by uid, else all is well; a
     status of 0 is no answer."""
@@ -186,6 +217,7 @@
         self.status: dict[str, int] = {}
         self.waits: dict[str, float] = {}
         self.shut_until: dict[str, float] = {}  # by uid; until then each call is told what is left as a wait
+        self.cold: dict[str, ColdReturn] = {}  # by uid, those that fall over when they are overrun
         self.flaky: dict[str, float] = {}  # by uid the share of calls that it answers with an error
         self.chance = random.Random("flaky endpoints")
 
@@ -204,6 +236,8 @@
         if self._uid in told.flaky and told.chance.random() < told.flaky[self._uid]:
             status = 500
         now_ms = told.stage.now_ms()
+        if self._uid in told.cold and not told.cold[self._uid].stands(now_ms):
+            status = 0
         left_ms = int(told.shut_until.get(self._uid, 0.0) - now_ms)
         if left_ms > 0:
             status = 429
--- a/birchstack/emulator/rig/real.py
+++ b/birchstack/emulator/rig/real.py
@@ -48,7 +48,9 @@
         keeper: dict | None = None,
         beat_ms: float = 500.0,
         also: dict[str, list[str]] | None = None,
+        rules: dict | None = None,
     ) -> None:
+        """rules: settings under `rules` in place of those of site.SETTINGS."""
         self.folder, self.seed, self._fleet = folder, seed, fleet
         self.chance = random.Random(f"rig {seed}")
         self._run = run or shell(sys.executable, "-m", "birchstack")
@@ -58,6 +60,7 @@
         self.uids = {f"e{at + 1}": at % destinations + 1 for at in range(endpoints)}
         self._list_services, self._beat_ms = list_services, beat_ms
         self._keeper_words = keeper or {}
+        self._rules = rules or {}
         self._also = also or {}  # by sender: processes to come beside it
         self.links: dict[tuple[str, str], Link] = {}
         self.processes: dict[str, Process] = {}
@@ -148,7 +151,7 @@
         place = self.place(of if of != name else name)
         ops = self.place(name)
         known = self.lists[lists].whole(of)
-        return site.sender(
+        words = site.sender(
             of,
             f"{place}:{CLIENT_PORT}",
             f"{ops}:{OPS_PORT}",
@@ -158,6 +161,8 @@
             known,
             len(self.senders),
         )
+        settings = words["settings"]
+        return {**words, "settings": {**settings, "rules": {**settings["rules"], **self._rules}}}
 
     def add_sender(self, name: str, of: str | None = None, lists: str = "list", **more: object) -> Process:
         """of: another process of that sender (an upgrade): the same folder and clients' door."""
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -78,6 +78,20 @@
 NO_PAST = Past()
 
 
+@dataclass(slots=True)
+class Submission:
+    """A document as it is handed to the decisions. left_ms: until its expiry; key: of its order, if any;
+    past: what became of it in a process before this one."""
+
+    id: str
+    destination: int
+    type_name: str
+    left_ms: float
+    key: str | None = None
+    past: Past = NO_PAST
+    tenant: str | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """How one transmission ended. room and limit are None where the destination told nothing."""
@@ -120,6 +134,28 @@
     wait_age_ms: float = 0.0
 
 
+class RecoveryStage(enum.StrEnum):
+    """How far an endpoint that was away has come back, as one sender knows it."""
+
+    DOWN = "down"  # it fails or is shut: one call at a time tries it
+    WARMING = "warming"  # it serves again, and its share of calls rises in the warm-up time
+    WARM = "warm"  # that time is over
+
+
+@dataclass(frozen=True, slots=True)
+class Recovery:
+    """What a sender knows of an endpoint that was away, kept for the process that follows it.
+
+    age_ms: since when it is in this stage. documents, span_ms: how many documents the sender took for the
+    endpoint's destination and in what time, its usual rate there; a span of 0 where that is not known."""
+
+    endpoint: str
+    stage: RecoveryStage
+    age_ms: float = 0.0
+    documents: int = 0
+    span_ms: float = 0.0
+
+
 class Host(Protocol):
     """What a sender may ask for. Every call takes effect at the time of the turn that is being answered."""
 
@@ -140,6 +176,9 @@
     def observed(self, endpoint: str, kind: SignalKind, wait_ms: float) -> None:
         """For the other senders; only called while Events.linked said that signals reach this one."""
 
+    def remember(self, recovery: Recovery) -> None:
+        """An endpoint went away, came back or is warm again: kept for the process that follows this one."""
+
     def log(self, text: str) -> None: ...
 
 
@@ -148,17 +187,7 @@
 
     def endpoints(self, now: float, mode: str, entries: list[Endpoint]) -> None: ...
 
-    def document(
-        self,
-        now: float,
-        doc_id: str,
-        destination: int,
-        type_name: str,
-        left_ms: float,
-        key: str | None,
-        past: Past = NO_PAST,
-        tenant: str | None = None,
-    ) -> None: ...
+    def document(self, now: float, given: Submission) -> None: ...
 
     def outcome(self, now: float, doc_id: str, endpoint: str, outcome: Outcome) -> None: ...
 
@@ -167,9 +196,11 @@
     def stands(self, now: float, doc_id: str) -> bool:
         """Asked just before a transmission is written that was decided earlier: whether it still may."""
 
-    def recall(self, now: float, endpoint: str, wait_ms: float, back_ms: float) -> None:
-        """What a process before this one was told of an endpoint: a wait still to run, and how long ago it
-        came back from a drain or from out by hand (or -1)."""
+    def recall(self, now: float, endpoint: str, wait_ms: float) -> None:
+        """A wait that an endpoint told the process before this one, and that still has to run."""
+
+    def recover(self, now: float, known: Recovery) -> None:
+        """What the process before this one knew of an endpoint that was away; before waits and documents."""
 
     def heard(self, now: float, note: str) -> None: ...
 
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -14,8 +14,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from birchstack.interface import Recovery
+from birchstack.net import recoveries
 from birchstack.net.log import say
 from birchstack.net.machine import Folder
+from birchstack.net.recoveries import Recoveries
 
 FILE = "ledger"
 WAITING, LOCKED = "ledger-next-", ".lock"  # the file of a process that waits while another holds the
@@ -76,6 +79,8 @@
         self.owed: dict[str, Owed] = {}
         self.ended: dict[str, None] = {}  # ended before the start; the file still told of them
         self.waits: dict[str, float] = {}  # by endpoint, until when it told to wait, by the wall clock
+        self.recoveries = Recoveries(self._limit)
+        self._unsaved: dict[str, list] = {}  # lines of recoveries that a full disk did not take, by endpoint
         self.freed: Callable[[int], None] = lambda destination: None  # hears of each end, by destination
         self._theirs: dict[str, bool] = {}  # files that were taken up; whether this one's says so
         self._bodies = self._size = self._next = 0
@@ -92,7 +97,7 @@
 
     def fits(self, sizes: list[int]) -> bool:
         """True if bodies of these sizes can be taken on."""
-        lines = LINE * (len(self.owed) + len(sizes))
+        lines = LINE * (len(self.owed) + len(sizes)) + recoveries.LINE * len(self.recoveries)
         bodies = self._bodies + sum(map(blocks, sizes))
         return bodies + blocks(2 * lines) + blocks(lines) + GROWN <= self._limit  # old file and new one
 
@@ -143,6 +148,25 @@
             del self.waits[next(iter(self.waits))]
         self._note(["wait", endpoint, until])
 
+    def remember(self, now: float, recovery: Recovery) -> None:
+        """An endpoint went away, came back or is warm: the process after this one goes on from there."""
+        self._unsaved[recovery.endpoint] = self.recoveries.keep(now, recovery)
+        if not self._save():
+            say(
+                log,
+                "recovery not noted",
+                logging.ERROR,
+                endpoint=recovery.endpoint,
+                waiting=len(self._unsaved),
+            )
+
+    def begin_recoveries_anew(self, now: float) -> None:
+        """The clock of the process before cannot be trusted: what was warming up begins again, now."""
+        if len(self.recoveries):
+            self.recoveries.begin_anew(now)
+            self.compact()
+            say(log, "recoveries begin anew: no clock tells their age", endpoints=len(self.recoveries))
+
     def notice(self, owed: Owed, result: str, wait_ms: float) -> None:
         """The document is over and the platform is owed a notice."""
         owed.notice = result, wait_ms
@@ -218,8 +242,20 @@
                 self._folder.unlock(name + LOCKED)
 
     def _tidy(self) -> None:
-        if self._size > max(GROWN, 2 * LINE * len(self.owed)):
+        wanted = LINE * len(self.owed) + recoveries.LINE * len(self.recoveries)
+        if self._size > max(GROWN, 2 * wanted):
             self.compact()
+        elif self._unsaved:
+            self._save()
+
+    def _save(self) -> bool:
+        """Writes the lines of recoveries that are not on disk yet; True if all are there now."""
+        try:
+            self._append(*self._unsaved.values())
+        except OSError:
+            return False
+        self._unsaved.clear()
+        return True
 
     # On disk
 
@@ -279,6 +315,7 @@
         lines = [words for owed in self.owed.values() for words in self._lines_of(owed)]
         lines += [["wait", name, until] for name, until in self.waits.items()]
         lines += [["took", name] for name in self._theirs]
+        lines += self.recoveries.lines()
         text = b"".join(map(self._line, lines))
         fresh = -1
         try:
@@ -295,6 +332,7 @@
         self._folder.close(self._file)
         self._file, self._size = fresh, len(text)
         self._theirs = dict.fromkeys(self._theirs, True)
+        self._unsaved.clear()
         return True
 
     # At the start
@@ -307,7 +345,7 @@
         taken = Replayed(own).took if waited else ()
         self._theirs = {name: name in taken for name, ended in waited.items() if ended}
         texts = [self._folder.read(name) for name, told in self._theirs.items() if not told]
-        past = Replayed(b"\n".join([*texts, own]))
+        past = Replayed(b"\n".join([*texts, own]), self.recoveries)
         self.owed, self.ended, self.waits, self._next = past.owed, past.ended, past.waits, past.next
         for owed in self.owed.values():
             owed.found = True
@@ -319,7 +357,7 @@
         self._file = self._folder.open(FILE)
         self._remove()
         if own or texts:
-            say(log, "recovered", owed=len(self.owed), torn=past.torn)
+            say(log, "recovered", owed=len(self.owed), torn=past.torn, recovering=len(self.recoveries))
 
     def _load(self, owed: Owed) -> None:
         if owed.notice:
@@ -348,7 +386,9 @@
 class Replayed:
     """What the lines of a file lead to."""
 
-    def __init__(self, text: bytes) -> None:
+    def __init__(self, text: bytes, known: Recoveries | None = None) -> None:
+        """known: where records of endpoints that were away go; none are wanted without it."""
+        self._recoveries = Recoveries(0) if known is None else known
         self.owed: dict[str, Owed] = {}
         self.ended: dict[str, None] = {}
         self.waits: dict[str, float] = {}
@@ -361,11 +401,15 @@
                 self._replay(*json.loads(line[9:]))
             except (ValueError, TypeError, KeyError):
                 self.torn += 1  # a record that was being written at the end, or a broken disk
+                self._recoveries.replay_cut(line)
 
     def _replay(self, what: str, doc_id: str, *words) -> None:
         if what == "wait":  # of an endpoint, not a document
             self.waits[doc_id] = max(float(words[0]), self.waits.pop(doc_id, 0.0))
             return
+        if what in recoveries.STAGES:
+            self._recoveries.replay(what, doc_id, *words)
+            return
         if what == "took":  # nor this
             self.took.add(doc_id)
             return
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -229,11 +229,12 @@
 
     def __init__(self, machine: Machine, folder: Folder) -> None:
         self._machine, boot = machine, machine.boot()
+        self.kept = False  # whether times of the process before can be compared with this one's
         self._ahead_ms = machine.wall_ms() - machine.steady_ms()
         try:
             written, ahead = folder.read(ANCHOR).decode("ascii").split()
             if boot and written == boot:
-                self._ahead_ms = float(ahead)
+                self._ahead_ms, self.kept = float(ahead), True
                 return
         except (OSError, ValueError):
             pass  # the first process here, or the file was cut off: as if the first
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -11,6 +11,7 @@
 import functools
 import logging
 from collections import Counter
+from collections.abc import Iterable
 
 from birchstack import interface as our
 from birchstack.decide import NEVER_RAN, Sender
@@ -29,6 +30,7 @@
 from birchstack.net.operators import Calls as Asked
 from birchstack.net.overflow import Make as MakeStore
 from birchstack.net.overflow import Overflow
+from birchstack.net.recollection import Recollection
 from birchstack.net.room import fitted, shares
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5  # after SIGTERM: new clients, new calls, answers to calls
@@ -82,6 +84,7 @@
         self._connected: list[Call] = []  # calls with their connection: they leave at its end
         self._answers: dict[str, tuple[str, float]] = {}  # by id, for those that come again
         self._by_hand = ByHand(folder, self._lasting.ms)
+        self._recalled = self._recollection() if self._holds else None
         self._refused: list[str] = []  # in this turn, for the audit log
         self._failed: list[str] = []
         self._counted: Counter[tuple[str, int]] = Counter()  # by type: delivered, refused, failed
@@ -142,12 +145,6 @@
         """What the folder owes, found by id, goes to the decisions."""
         now, wall = self.clock(), self._lasting.ms()
         self._remember({doc_id: (TAKEN, 0.0) for doc_id in (*self._ledger.ended, *found)})
-        back = self._by_hand.back
-        for name in {**self._ledger.waits, **back}:  # before the documents: they may be held by it
-            wait_ms = self._ledger.waits.get(name, wall) - wall
-            back_ms = wall - back.get(name, wall + 1.0)
-            if wait_ms > 0.0 or back_ms >= 0.0:
-                self._inbox.append((self._core.recall, name, max(0.0, wait_ms), back_ms))
         for owed in [*found.values()]:
             owed.due = now + owed.expiry - wall
             if owed.notice:
@@ -165,6 +162,20 @@
                 self._soon,
             )
 
+    def _recollection(self) -> Recollection:
+        """The folder is this process's now: what it tells of endpoints."""
+        if not self._lasting.kept:
+            self._ledger.begin_recoveries_anew(self._lasting.ms())
+        return Recollection(self._ledger, self._by_hand)
+
+    def _recall(self, listed: Iterable[our.Endpoint]) -> None:
+        """Goes to the decisions behind the list that names the endpoints, and before any document."""
+        for recalled in self._recalled.of(self._lasting.ms(), listed):
+            if recalled.recovery:
+                self._inbox.append((self._core.recover, recalled.recovery))
+            if recalled.wait_ms > 0.0:
+                self._inbox.append((self._core.recall, recalled.endpoint, recalled.wait_ms))
+
     def _adopt(self, now: float, owed: Owed, tenant: str | None = None) -> None:
         """What was taken on before goes to the decisions, with its past."""
         wall = self._lasting.ms()
@@ -175,7 +186,9 @@
             return
         doubt = tuple((now + when - wall, zone) for zone, when in owed.doubt)
         past = our.Past(owed.sent, owed.failed, doubt) if owed.found else our.NO_PAST
-        self._core.document(now, owed.id, owed.destination, owed.type, owed.due - now, owed.key, past, tenant)
+        left_ms = owed.due - now
+        given = our.Submission(owed.id, owed.destination, owed.type, left_ms, owed.key, past, tenant)
+        self._core.document(now, given)
 
     def _look_at_the_folder(self) -> None:
         """Another process of this sender holds the folder: this one takes documents on and sends nothing.
@@ -205,6 +218,8 @@
             told = [self._by_hand.as_told(entry) for entry in listed]
             self._inbox.append((self._core.endpoints, mode, told))
         self._unheard.clear()
+        self._recalled = self._recollection()
+        self._recall(self._list.entries.values())
         self._take_up(self._ledger.owed)
         say(log, "holds the folder", owed=len(self._ledger.owed))
         self._soon()
@@ -230,6 +245,7 @@
         self._list.apply(mode, listed)
         if self._holds:
             self._happened(self._core.endpoints, mode, [self._by_hand.as_told(entry) for entry, _ in listed])
+            self._recall(entry for entry, _ in listed)
             return
         if mode != our.CHANGES:  # the decisions will hear of them when this process sends
             self._unheard.clear()
@@ -334,16 +350,15 @@
         else:
             handed.left_ms -= age
             self._fresh[handed.id] = handed
-            words = (
+            given = our.Submission(
                 handed.id,
                 handed.destination,
                 handed.type,
                 handed.left_ms,
                 handed.key,
-                our.NO_PAST,
-                handed.tenant,
+                tenant=handed.tenant,
             )
-            if not self._guarded(self._core.document, now, *words) and self._fresh.pop(handed.id, None):
+            if not self._guarded(self._core.document, now, given) and self._fresh.pop(handed.id, None):
                 self._guarded(self._core.withdrawn, now, handed.id)
                 self._answer(handed, CLOSED, advice_ms)
 
@@ -505,6 +520,9 @@
     def observed(self, endpoint: str, kind: our.SignalKind, wait_ms: float) -> None:
         self._audit.observed(endpoint, kind, wait_ms)
 
+    def remember(self, recovery: our.Recovery) -> None:
+        self._ledger.remember(self._lasting.ms(), recovery)
+
     def log(self, text: str) -> None:
         say(log, text)
 
--- a/birchstack/state.py
+++ b/birchstack/state.py
@@ -107,18 +107,14 @@
 
 
 class Document:
+    """What is kept of one document from its submission to its end."""
+
     def __init__(
-        self,
-        doc_id: str,
-        kind: our.DocumentType,
-        destination,
-        now: float,
-        left_ms: float,
-        order: int,
-        past: our.Past,
+        self, given: our.Submission, kind: our.DocumentType, destination, now: float, order: int
     ) -> None:
-        self.id, self.kind, self.destination, self.order = doc_id, kind, destination, order
-        self.expiry = now + left_ms
+        past = given.past
+        self.id, self.kind, self.destination, self.order = given.id, kind, destination, order
+        self.expiry = now + given.left_ms
         self.taken = self.expiry - kind.expiry_ms  # when the client first handed it in
         self.ready_at, self.out = now, None  # end of its pause; the call that it is out with
         self.found = past is not our.NO_PAST  # taken on before a restart
@@ -169,6 +165,11 @@
         counts = now - report.first_ms > max(self.ok_at, self.others_served_at)
         return report.failed_by if counts else 0
 
+    def recovery(self, now: float, stage: our.RecoveryStage, since: float) -> our.Recovery:
+        """What the next process needs to know of it: its stage, since when, and the sender's usual rate."""
+        dest = self.route.destination
+        return our.Recovery(self.name, stage, now - since, dest.taken, now - dest.since)
+
     def joinable(self) -> bool:
         return self.call is not None and self.call.docs < self.route.per_call
 
--- a/tests/fake.py
+++ b/tests/fake.py
@@ -55,7 +55,7 @@
             key_rest_ms=1000.0,
         )
         self.now, self.calls, self.said, self.alarms, self.logs, self.closed = 0.0, [], [], [], [], []
-        self.told, self.come_back, self.observations = [], {}, []
+        self.told, self.come_back, self.observations, self.remembered = [], {}, [], []
         self.number, self.ended, self.outcomes, self.patience = {}, set(), [], []
         self.sender = Sender(our.Settings(**{**words, **settings}), 7, self)
         self.listed(endpoints)
@@ -87,6 +87,9 @@
     def observed(self, endpoint, kind, wait_ms):
         self.observations.append((endpoint, kind, wait_ms))
 
+    def remember(self, recovery):
+        self.remembered.append(recovery)
+
     def log(self, text):
         self.logs.append(text)
 
@@ -96,16 +99,18 @@
         self.sender.turn(self.now)
 
     def take(self, doc_id, kind="sync", destination=1, left=20000.0, key=None, tenant=None):
-        self.sender.document(self.now, doc_id, destination, kind, left, key, our.NO_PAST, tenant)
+        given = our.Submission(doc_id, destination, kind, left, key, tenant=tenant)
+        self.sender.document(self.now, given)
         self.sender.turn(self.now)
 
     def back(self, docs, kind="sync", key=None, fresh=(), **past):
         """What a sender before this one held, in one turn; doubt at the time 0; fresh ones were not sent."""
         for doc_id in docs:
             self.number[doc_id] = past.get("sent", 0) - 1
-            self.sender.document(self.now, doc_id, 1, kind, 20000.0, key, our.Past(**past))
+            given = our.Submission(doc_id, 1, kind, 20000.0, key, our.Past(**past))
+            self.sender.document(self.now, given)
         for doc_id in fresh:
-            self.sender.document(self.now, doc_id, 1, kind, 20000.0, key)
+            self.sender.document(self.now, our.Submission(doc_id, 1, kind, 20000.0, key))
         self.sender.turn(self.now)
 
     def ends(self, doc_id, kind, after=0.0, over=None, **words):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -167,7 +167,7 @@
 def test_two_hundred_events_after_a_standstill_go_out_within_the_slots():
     story = Story(slots=4, max_held=400)
     for number in range(200):
-        story.sender.document(story.now, f"d{number}", 1, "sync", 20000.0, None)
+        story.sender.document(story.now, our.Submission(f"d{number}", 1, "sync", 20000.0))
     story.sender.turn(story.now)
     assert 0 < len(story.calls) <= 3
 
@@ -386,7 +386,7 @@
 
 def test_a_wait_and_a_return_told_to_the_process_before_are_kept():
     story = Story(slots=40)  # an upgrade is one sender: a wait told to the old one holds
-    story.sender.recall(story.now, "a", 1500.0, -1.0)
+    story.sender.recall(story.now, "a", 1500.0)
     story.take("d1")
     story.at(1400.0)
     assert not story.calls
@@ -396,7 +396,8 @@
     for number in range(10):
         cold.take(f"d{number}")
         cold.ends(f"d{number}", our.OK, 100.0)
-    cold.sender.recall(cold.now, "a", 0.0, 500.0)  # back from out by hand half a second ago: still cold
+    returned = our.Recovery("a", our.RecoveryStage.WARMING, age_ms=500.0)
+    cold.sender.recover(cold.now, returned)  # back from out by hand half a second ago: still cold
     for number in range(20):
         cold.take(f"w{number}")
     assert sum(doc.startswith("w") for doc, _ in cold.calls) <= 3
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -193,7 +193,7 @@
     for number in range(2, 9):
         story.listed([f"z{number}"], our.CHANGES, destination=number)
     for number in range(2, 9):
-        story.sender.document(story.now, f"d{number}", number, "sync", 20000.0, None)
+        story.sender.document(story.now, our.Submission(f"d{number}", number, "sync", 20000.0))
     story.sender.turn(story.now)
     assert len(story.calls) == 4
 
--- a/tests/test_shared_limit.py
+++ b/tests/test_shared_limit.py
@@ -84,20 +84,15 @@
     def restart(self):
         self.start()
         for doc_id, expiry in self.held.items():
-            self.sender.document(
-                self.fleet.now,
-                doc_id,
-                1,
-                "sync",
-                expiry - self.fleet.now,
-                None,
-                our.Past(self.sent[doc_id], 0, ()),
-            )
+            past = our.Past(self.sent[doc_id], 0, ())
+            left_ms = expiry - self.fleet.now
+            given = our.Submission(doc_id, 1, "sync", left_ms, past=past)
+            self.sender.document(self.fleet.now, given)
         self.soon()
 
     def take(self, doc_id):
         self.held[doc_id] = self.fleet.now + TYPE.expiry_ms
-        self.sender.document(self.fleet.now, doc_id, 1, "sync", TYPE.expiry_ms, None)
+        self.sender.document(self.fleet.now, our.Submission(doc_id, 1, "sync", TYPE.expiry_ms))
         self.soon()
 
     def soon(self):
@@ -143,6 +138,7 @@
     def subscribe(self): ...
     def close_idle(self, endpoint): ...
     def tell(self, note): ...
+    def remember(self, recovery): ...
     def log(self, text): ...
 
 
