The judge holds a restarted sender to what it saw of an outage before

Cause: the emulator's judge took a restarted process for one that was told nothing of the outage, so a cold destination pushed over by restarts broke no rule there.

--- a/birchstack/emulator/destinations.py
+++ b/birchstack/emulator/destinations.py
@@ -145,7 +145,9 @@
         self.active: list[Trouble] = []
         self.back_at: float | None = None  # when the last outage ended
         self.fallen_until = 0.0
-        self.saw: dict[int, None] = {}  # senders that saw a call fail in the present outage, or the last
+        self.saw: dict[
+            int, None
+        ] = {}  # senders that saw a call fail in the present outage, or the last, in any of their lives
         self._arrivals: deque[tuple[float, int]] = deque()
         self.pushes: list[Push] = []
         self._until = 0.0
--- a/birchstack/emulator/sockets.py
+++ b/birchstack/emulator/sockets.py
@@ -260,7 +260,6 @@
             "by SIGTERM" if self.closing else "killed" if process.returncode == -signal.SIGKILL else "crashed"
         )
         day.judge.stopped(day.stage.now_ms(), self.number, how)
-        day.world.sender_ended(self.number)
         await asyncio.sleep(self.down_ms / 1000.0)
         if not day.over:
             await self.start()
--- a/birchstack/emulator/virtual.py
+++ b/birchstack/emulator/virtual.py
@@ -143,7 +143,6 @@
         self.node = None
         day.network.died(loop)
         day.judge.stopped(day.clock.now_ms(), self.number, how)
-        day.world.sender_ended(self.number)
         day.clock.after(self._down_ms or 600.0, self._restart, loop)
 
     def _restart(self, loop: ProcessLoop) -> None:
--- a/birchstack/emulator/world.py
+++ b/birchstack/emulator/world.py
@@ -377,11 +377,6 @@
     def sender_failed(self, dest: Destination, sender: int) -> None:
         dest.failed(self.stage.now_ms(), sender)
 
-    def sender_ended(self, sender: int) -> None:
-        """What a process saw ends with it: its next life was told nothing of the outage."""
-        for dest in self.destinations:
-            dest.saw.pop(sender, None)
-
     def refused(self, sender: int, uid: str) -> None:
         """A sender's dial was refused."""
         if uid in self.endpoints:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -18,7 +18,7 @@
 
 from birchstack import decide, settings, state
 from birchstack import interface as our
-from birchstack.emulator.scenario import KINDS, DocumentType, Group, Scenario, SenderSide, draw
+from birchstack.emulator.scenario import KINDS, Cold, DocumentType, Group, Scenario, SenderSide, draw
 from birchstack.emulator.virtual import play
 from birchstack.net import calls, discovery, front, ledger, notices, sender
 
@@ -39,6 +39,9 @@
     ),
 )
 MANY = msgspec.structs.replace(DAY, senders=10, destinations=(Group(count=3, endpoints=10),))
+COLD = msgspec.structs.replace(
+    DAY, senders=8, destinations=(Group(count=2, endpoints=1),), cold=Cold(warm_up_ms=12000.0)
+)
 MUTANTS = {}
 
 
@@ -144,8 +147,8 @@
 def _(patch):
     old = decide.Sender.document
 
-    def document(self, now, doc_id, destination, type_name, left_ms, key, past=our.NO_PAST, tenant=None):
-        old(self, now, doc_id, destination, type_name, left_ms * 3.0, key, past, tenant)
+    def document(self, now, given):
+        old(self, now, dataclasses.replace(given, left_ms=given.left_ms * 3.0))
 
     patch.set(decide.Sender, "document", document)
     patch.set(sender.Node, "_look_for_overdue", never)
@@ -247,6 +250,11 @@
     patch.set(decide.Route, "row", property(lambda self: 0, never))
 
 
+@mutant("what is cold is forgotten with the process", COLD, ("shut_told", "kill", "sigterm"))
+def _(patch):
+    patch.set(sender.Node, "remember", never)
+
+
 @mutant("documents of one key go out of turn")
 def _(patch):
     patch.set(state.Keyline, "allows", lambda *words: True)
