--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -21,6 +21,7 @@
     "listed": "benchmarks.capacity.listed",
     "spread": "benchmarks.capacity.spread",
     "turn": "benchmarks.capacity.turn",
+    "recoveries": "benchmarks.capacity.recoveries",
     "owed": "benchmarks.capacity.owed",
     "lists": "benchmarks.capacity.lists",
     "list-size": "benchmarks.capacity.list_size",
--- a/benchmarks/capacity/audit.py
+++ b/benchmarks/capacity/audit.py
@@ -71,7 +71,7 @@
         sender, turns, spent_s = Sender(folder), 0, 0.0
         sender.asked()
         sender.wire_bytes = 0
-        trail, before = 0, sender.audit._shelf.trail
+        trail, before = 0, sender.audit._files.trail
         for second in range(seconds):
             for first in range(0, per_second, together):
                 calls = [
--- a/birchstack/fleet/shelf.py
+++ b/birchstack/fleet/audit_files.py
@@ -1,4 +1,4 @@
-"""The trail on disk: its files in the folder that lasts, and what a full or broken disk does to it.
+"""The audit log on disk: its files in the folder that lasts, and what a full or broken disk does to them.
 
 Owns the files `trail-*`. Must never raise into what it records: a disk that fails loses trail, never a
 document, and the loss is itself recorded once there is room. Writes through net.machine.Folder, the
@@ -8,8 +8,7 @@
     trail-NAME-LAST-folded  what the oldest segments came to, up to the record LAST. Never written over: a
                             rename onto a file that is there may wait for the disk
     trail-sound             there while every record was kept; taken away (which needs no room) at the first
-    that
-                            was not, so that a process killed before there is room again leaves a sign
+                            that was not, so that a process killed before there is room again leaves a sign
 """
 
 from __future__ import annotations
@@ -39,7 +38,7 @@
 log = logging.getLogger(__name__)
 
 
-class Shelf:
+class AuditFiles:
     """trail: as it is on disk, kept in memory too."""
 
     def __init__(self, folder: Folder, limit: int, unique: Callable[[], str]) -> None:
--- a/birchstack/fleet/audit_log.py
+++ b/birchstack/fleet/audit_log.py
@@ -17,9 +17,9 @@
 
 import birchstack
 from birchstack.fleet import wire
+from birchstack.fleet.audit_files import AuditFiles
 from birchstack.fleet.records import FORMAT, Acted, Adopted, Ended, Life
 from birchstack.fleet.settings import Fleet
-from birchstack.fleet.shelf import Shelf
 from birchstack.fleet.signalling import Signalling
 from birchstack.fleet.versions import (
     DECISIONS,
@@ -73,7 +73,7 @@
         self._told, self._config, self._machine = told, config, machine
         self._folder, self._status = folder, status
         self._process, self._boot = machine.unique(), machine.boot()
-        self._shelf: Shelf | None = None  # none while another process holds the folder
+        self._files: AuditFiles | None = None  # none while another process holds the folder
         self._versions: dict[str, Version] = {}
         self._contents = Contents()
         self._list_ms = 0.0
@@ -87,13 +87,13 @@
 
     def begins(self, holds: bool) -> None:
         if holds:
-            self._shelf = Shelf(self._folder, self._told.trail.bytes, self._machine.unique)
+            self._files = AuditFiles(self._folder, self._told.trail.bytes, self._machine.unique)
             now, wall = self._machine.steady_ms(), self._machine.wall_ms()
-            self._shelf.write(Life(self._process, self._config.name, self._boot, wall, now), now)
+            self._files.write(Life(self._process, self._config.name, self._boot, wall, now), now)
             for adopted in self._waiting.values():  # acted on from now on
-                self._shelf.write(msgspec.structs.replace(adopted, wall_ms=wall, steady_ms=now), now)
+                self._files.write(msgspec.structs.replace(adopted, wall_ms=wall, steady_ms=now), now)
             if self._refused:
-                self._shelf.write(Acted(now, (), self._refused), now)
+                self._files.write(Acted(now, (), self._refused), now)
             self._waiting.clear()
             if self._signalling:
                 self._signalling.begins()
@@ -106,8 +106,8 @@
         record = Adopted(version, order, source, self._machine.wall_ms(), now, taken)
         if taken:
             self._versions[version.kind] = version
-        if self._shelf:
-            self._shelf.write(record, now)
+        if self._files:
+            self._files.write(record, now)
         elif taken:
             self._waiting[version.kind] = record
 
@@ -157,11 +157,11 @@
         return verdict.take
 
     def turn(self, calls: list[tuple[str, str]], refused: list[str], failed: list[str]) -> None:
-        if self._shelf is None:  # a process that waits begins no call
+        if self._files is None:  # a process that waits begins no call
             self._refused += len(refused) + len(failed)
             return
         now = self._machine.steady_ms()
-        self._shelf.write(Acted(now, tuple(chain.from_iterable(calls)), len(refused), tuple(failed)), now)
+        self._files.write(Acted(now, tuple(chain.from_iterable(calls)), len(refused), tuple(failed)), now)
 
     def observed(self, endpoint: str, kind: SignalKind, wait_ms: float) -> None:
         if self._signalling:
@@ -171,10 +171,10 @@
         return self._signalling.live() if self._signalling else None
 
     def ended(self) -> None:
-        if self._shelf:
+        if self._files:
             now = self._machine.steady_ms()
-            self._shelf.write(Ended(now), now)
-            self._shelf.close()
+            self._files.write(Ended(now), now)
+            self._files.close()
 
     # What is asked
 
@@ -186,7 +186,7 @@
             ("list_digest", held.digest if held else "-"),
             ("list_age_ms", int(now - self._list_ms) if held else -1),
             ("list_heard_ms", int(self._status().heard_ms)),
-            ("trail_failing", int(self._shelf.failing if self._shelf else 0)),
+            ("trail_failing", int(self._files.failing if self._files else 0)),
             *(self._signalling.figures() if self._signalling else ()),
         ]
 
@@ -205,14 +205,14 @@
             return Answer(False, "after, most: whole numbers are wanted")
         if after < 0 or not 0 <= most <= wire.MOST:
             return Answer(False, f"after, most: from 0 up, most at most {wire.MOST}")
-        status, shelf = self._status(), self._shelf
-        if shelf:
-            shelf.retry(self._machine.steady_ms())
+        status, files = self._status(), self._files
+        if files:
+            files.retry(self._machine.steady_ms())
         piece = wire.Piece(
             name=self._config.name,
             process=self._process,
             boot=self._boot,
-            holds=shelf is not None,
+            holds=files is not None,
             wall_ms=self._machine.wall_ms(),
             steady_ms=self._machine.steady_ms(),
             versions=self._versions,
@@ -223,14 +223,14 @@
             signals=self._signals(status, body),
             **(
                 {
-                    "trail": shelf.trail.name,
-                    "life": shelf.trail.state.life,
-                    "last": shelf.trail.last,
-                    "chain": shelf.trail.chain,
-                    "failing": shelf.failing,
-                    "frames": shelf.trail.piece(after, most),
+                    "trail": files.trail.name,
+                    "life": files.trail.state.life,
+                    "last": files.trail.last,
+                    "chain": files.trail.chain,
+                    "failing": files.failing,
+                    "frames": files.trail.piece(after, most),
                 }
-                if shelf
+                if files
                 else {}
             ),
         )
--- a/birchstack/net/recollection.py
+++ b/birchstack/net/recollection.py
@@ -32,6 +32,8 @@
         self._unnamed = {*ledger.waits, *ledger.recoveries, *by_hand.back}
 
     def of(self, now: float, listed: Iterable[our.Endpoint]) -> Iterator[Recalled]:
+        if not self._unnamed:  # later lists are not gone through
+            return
         for name in [entry.name for entry in listed if entry.name in self._unnamed]:
             self._unnamed.discard(name)
             wait_ms = self._ledger.waits.get(name, now) - now
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -10,7 +10,6 @@
 import asyncio
 import functools
 import logging
-from collections import Counter
 from collections.abc import Iterable
 
 from birchstack import interface as our
@@ -32,6 +31,7 @@
 from birchstack.net.overflow import Overflow
 from birchstack.net.recollection import Recollection
 from birchstack.net.room import fitted, shares
+from birchstack.net.tally import Tally
 
 LISTEN_S, CALL_S, END_S = 0.8, 2.9, 3.5  # after SIGTERM: new clients, new calls, answers to calls
 OVERDUE_MS = 100.0  # past its expiry, a document that has no end is overdue
@@ -85,10 +85,8 @@
         self._answers: dict[str, tuple[str, float]] = {}  # by id, for those that come again
         self._by_hand = ByHand(folder, self._lasting.ms)
         self._recalled = self._recollection() if self._holds else None
-        self._refused: list[str] = []  # in this turn, for the audit log
-        self._failed: list[str] = []
-        self._counted: Counter[tuple[str, int]] = Counter()  # by type: delivered, refused, failed
-        self._reloads, self._untried = [0, 0], Counter()  # found at the start, given up uncalled: by reason
+        self._tally = Tally()
+        self._reloads = [0, 0]  # configurations taken over, and not taken over
         self._turn_due, self._turned_at = False, 0.0
         self._alarm: asyncio.TimerHandle | None = None
         self._closing_at: float | None = None
@@ -259,7 +257,7 @@
         """The first line of an answer says so; the rest of it cannot change that."""
         owed = self._ledger.owed.get(call.doc)
         if owed and holds(owed.notice is None, "a document has one end"):
-            self._counted[owed.type, 0] += 1
+            self._tally.delivered(owed.type)
             if self.clock() < owed.due - NEAR_MS:
                 self._ledger.done(owed)
             else:  # where it counts, its time may be up: it ends by a notice
@@ -364,7 +362,7 @@
 
     def _answer(self, handed: Handed, verdict: str, wait_ms: float = 0.0) -> None:
         if verdict != TAKEN:
-            self._count(handed.id, handed.type, verdict == ABANDONED)
+            self._tally.undelivered(handed.id, handed.type, verdict == ABANDONED)
         self._remember({handed.id: (verdict, wait_ms)})
         handed.reply(verdict, wait_ms, close=self._front.ending)
 
@@ -411,9 +409,9 @@
                 continue
             call.body, call.repeat_key = owed.body, owed.repeat_key
             leaving.append(call)
-        if self._audit and (leaving or self._refused or self._failed):
-            self._audit.turn([(call.doc, call.endpoint) for call in leaving], self._refused, self._failed)
-        self._refused, self._failed = [], []
+        refused, failed = self._tally.take_turn()
+        if self._audit and (leaving or refused or failed):
+            self._audit.turn([(call.doc, call.endpoint) for call in leaving], refused, failed)
         connected, self._connected = self._connected, []
         for call in [*connected, *(each for each in leaving if self._calls.begin(each))]:
             self._calls.go(call, self._leaves(self.clock(), call))
@@ -441,11 +439,6 @@
         call.patience_ms = min(call.patience_ms, owed.due - now)
         return True
 
-    def _count(self, doc_id: str, kind: str, failed: bool) -> None:
-        """A document ended undelivered."""
-        self._counted[kind, 2 if failed else 1] += 1
-        (self._failed if failed else self._refused).append(doc_id)
-
     def _unsent(self, call: Call | None) -> None:
         if call:
             self._ended(call, our.Outcome(our.UNSENT, call.number, 0.0, False))
@@ -460,7 +453,7 @@
             notices=len(self._notices),
             clients=len(self._front),
             broken=dict(broken),
-            untried=dict(self._untried),
+            untried=dict(self._tally.untried),
         )
         self._loop.call_later(REPORT_S, self._report)
 
@@ -492,9 +485,9 @@
                     if self._list.ready(owed.destination)
                     else "no endpoint is ready"
                 )
-                self._untried[why] += 1
+                self._tally.untried[why] += 1
                 say(log, "given up with no call", logging.WARNING, doc=doc_id, reason=why)
-            self._count(owed.id, owed.type, result == "dead")
+            self._tally.undelivered(owed.id, owed.type, result == "dead")
             self._ledger.notice(owed, result, wait_ms)
             self._notices.tell(doc_id, result, wait_ms)
 
@@ -560,15 +553,13 @@
         return SenderStatus(self._ready_now().yes, len(self._ledger.owed), self._watch.silent_ms())
 
     def _figures(self) -> Figures:
-        types = [kind.name for kind in self._config.settings.types]
-        types += sorted({name for name, _ in self._counted if name not in types})
         out = self._by_hand.out
         avoided = sum(name in self._list.entries for name in out) + sum(
             name not in out for name in self._core.avoided()
         )
         held = len(self._overflow or ()) + sum(owed.notice is None for owed in self._ledger.owed.values())
         return Figures(
-            {name: tuple(self._counted[name, at] for at in range(3)) for name in types},
+            self._tally.by_type(kind.name for kind in self._config.settings.types),
             self._calls.transmitted,
             held,
             len(self._list.entries),
@@ -650,7 +641,7 @@
             owed=len(self._ledger.owed),
             out=len(self._calls),
             broken=dict(broken),
-            untried=dict(self._untried),
+            untried=dict(self._tally.untried),
         )
         self._watch.stop()
         self._calls.close()
--- a/tests/fleet_mutants.py
+++ b/tests/fleet_mutants.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from birchstack.emulator.rig.drawn import KINDS, play
-from birchstack.fleet import audit_log, records, shelf, trail
+from birchstack.fleet import audit_files, audit_log, records, trail
 from birchstack.keeper import questions, store
 from tests.mutants import Patch, never
 
@@ -79,9 +79,9 @@
 
 @mutant("a gap is hidden")
 def _(patch):
-    old = shelf.Shelf._keep
+    old = audit_files.AuditFiles._keep
     patch.set(
-        shelf.Shelf,
+        audit_files.AuditFiles,
         "_keep",
         lambda self, record: True if isinstance(record, records.Gap) else old(self, record),
     )
@@ -95,7 +95,7 @@
         return old(self, at, msgspec.structs.replace(piece, failing=False), *words)
 
     patch.set(store.Store, "take", take)
-    patch.set(shelf.Shelf, "retry", never)
+    patch.set(audit_files.AuditFiles, "retry", never)
 
 
 @mutant("folding forgets what the segment before had", ("keeper cut", "keeper killed"), True)
@@ -130,13 +130,13 @@
 
 @mutant("rot is cut out and nobody is told", ("rot", "keeper cut"), True)
 def _(patch):
-    old = shelf.Shelf.write
+    old = audit_files.AuditFiles.write
 
     def write(self, record, now_ms):
         self._doubtful.clear()
         return old(self, record, now_ms)
 
-    patch.set(shelf.Shelf, "write", write)
+    patch.set(audit_files.AuditFiles, "write", write)
     gap = store.Store._gap
     patch.set(
         store.Store,
--- a/tests/test_capacity_sender.py
+++ b/tests/test_capacity_sender.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from benchmarks.capacity import fit, listed, owed, spread, stand, turn, work
+from benchmarks.capacity import fit, listed, owed, recoveries, spread, stand, turn, work
+from birchstack.net import recoveries as kept
 from birchstack.net.discovery import MOST_LIST
 
 FILL, HOPELESS, SPARES = "decide.py Sender._fill", "decide.py Sender._hopeless", "decide.py Sender._spares"
@@ -83,6 +84,12 @@
         assert work.functions(work.walks(counts)) == known, action
 
 
+def test_the_cost_of_remembering_what_is_down_fits_the_room_kept_for_it():
+    for down, measured in recoveries.measure(recoveries.SMALL):
+        assert set(measured) == set(recoveries.FIGURES)
+        assert 0 < measured["written anew"] <= measured["disk"] <= down * kept.LINE
+
+
 def test_work_is_counted_the_same_each_time():
     first, second = (turn.count("listed", "decisions: a document", 64) for _ in range(2))
     assert first.by_line() == second.by_line() and first.total() > 1000
--- a/tests/test_recoveries.py
+++ b/tests/test_recoveries.py
@@ -1,14 +1,19 @@
 """What a sender knows of endpoints that were away outlasts its process: in ledger and decisions."""
 
+import asyncio
+
 import pytest
-from fake import Story
+from fake import Story, config
 
 from birchstack import interface as our
 from birchstack.emulator.folder import Disk, MemoryFolder
 from birchstack.interface import Recovery, RecoveryStage
 from birchstack.net import recoveries
+from birchstack.net.config import decode
 from birchstack.net.ledger import GROWN, Ledger
+from birchstack.net.machine import ANCHOR, Folder, LastingClock, Machine
 from birchstack.net.recoveries import Recoveries
+from birchstack.net.sender import Node
 
 DOWN, WARMING, WARM = RecoveryStage
 ROOM = 3_000_000
@@ -111,6 +116,29 @@
     assert known(disk, 2000.0) is None
 
 
+@pytest.mark.parametrize("clock", ["kept", "lost", "of another run"])
+def test_where_no_clock_tells_their_age_ramps_begin_again_for_the_next_process_too(tmp_path, clock):
+    now = LastingClock(Machine(), Folder(str(tmp_path))).ms()
+    ledger = Ledger(Folder(str(tmp_path)), ROOM)
+    ledger.remember(now - 5000.0, Recovery("s-1", WARMING, 0.0, 50, 10000.0))
+    ledger.close()
+    if clock == "lost":
+        (tmp_path / ANCHOR).unlink()
+    elif clock == "of another run":
+        (tmp_path / ANCHOR).write_text("another-run 12345.0\n")
+
+    async def make():
+        return Node(decode(config(tmp_path), {}), asyncio.get_running_loop())
+
+    for _ in range(2):
+        node = asyncio.run(make())
+        found = node._ledger.recoveries.of(node._lasting.ms(), "s-1")
+        node._ledger.close()
+        node._folder.unlock("lock")
+        assert (found.age_ms >= 5000.0) == (clock == "kept") and found.age_ms < 9000.0
+        assert (found.documents, found.span_ms) == (50, 10000.0)
+
+
 def test_records_are_bounded_by_the_room_and_keep_the_newest():
     few = Recoveries(10 * recoveries.PART * recoveries.LINE)
     for number in range(25):
