What was down is tried within the warm-up time after a restart, however few its documents

Cause: the first call to an endpoint that the process before knew as down came after the usual time between two documents of this sender, minutes where it has one in half a minute: one that had come back while no process ran was shut out until then (found by reading; a story with 550 senders now asks for it). Change: the first pause is drawn as after a told wait, by the usual rate, within the warm-up time at the latest.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -251,7 +251,7 @@
             dest.taken, dest.since, dest.recovered = known.documents, now - known.span_ms, True
         if known.stage == our.RecoveryStage.DOWN:
             ep.ill, ep.back_at, route.ill_at = True, None, now - known.age_ms
-            self._await_trial(now, dest, route, TRIAL_MS)  # by chance: many may restart together
+            self._await_trial(now, dest, route, TRIAL_MS, spread=True)  # many may restart together
         else:
             ep.back_at, route.ramp = now - known.age_ms, Meter(now, self._draw(0.0, 1.0))
 
@@ -610,14 +610,14 @@
         self._await_trial(now, dest, route, TRIAL_MS)
         self._host.log(f"destination {dest.number}: endpoint ill, {ep.streak} failures, last {why}")
 
-    def _await_trial(self, now: float, dest: Destination, route: Route, ms: float) -> None:
+    def _await_trial(self, now: float, dest: Destination, route: Route, ms: float, spread=False) -> None:
         route.trial_ms, usual = min(LONGEST_TRIAL_MS, ms), dest.usual(now)
         start, rare_ms, least = max(now, route.wait_until, route.hold_until), TRIAL_EVERY / usual, 0.3
         if self._set.notes:  # what one finds all hear: those that hold something try in turn
             held = min(1.0, usual * (start - route.ill_at + NOTE_MS) / 1000.0) * self._set.senders
             rare_ms, least = held * 1000.0 / max(LEAST_TRIALS, TRIAL_PART * usual * self._set.senders), 0.0
         pause_ms = rare_ms if rare_ms > LONGEST_TRIAL_MS else route.trial_ms  # no more often than they send
-        if start > now and not self._set.notes:  # all see its end at one time: the first calls of the ramp
+        if (spread or start > now) and not self._set.notes:  # met by many at once: as a ramp's first calls
             alone = 0.0 if self._linked else 1000.0 / self._set.warm_up_ms  # few know of it, unless told
             pause_ms, least = 500.0 / max(usual * self._set.cold_share, alone), 0.0
         elif route.shared:  # others try it too: as often together as one would, also as documents come
--- a/tests/test_recoveries.py
+++ b/tests/test_recoveries.py
@@ -1,6 +1,7 @@
 """What a sender knows of endpoints that were away outlasts its process: in ledger and decisions."""
 
 import asyncio
+import random
 
 import pytest
 from fake import Story, config
@@ -231,6 +232,18 @@
     assert calls_by(story, 5000.0) == 1
 
 
+@pytest.mark.parametrize("senders", [2, 30, 550])
+def test_what_was_down_is_tried_within_the_time_of_a_warm_up_by_a_sender_with_few_documents_too(senders):
+    for seed in range(20):
+        story = Story(senders=senders)
+        story.sender._draw = random.Random(seed).uniform
+        story.sender.recover(0.0, Recovery("a", DOWN, 0.0, 1, 3.6e6))
+        story.take("d")
+        assert not story.calls
+        story.at(10_000.0)
+        assert story.calls == [("d", "a")]
+
+
 @pytest.mark.parametrize(
     ("age_ms", "least", "most"),
     [(0.0, 1, 3), (5000.0, 2, 5), (7_900.0, 3, 7), (10_000.0, 15, 15)],
