A record whose time could not be read stays without one when the ledger is written anew

Cause: found by reading the module again: a torn or spoilt record of an endpoint that warms up counts as just back, but the next writing anew gave it the time 0, and the process after that took the endpoint for warm long ago. Change: such a record is written with no time.

--- a/birchstack/net/recoveries.py
+++ b/birchstack/net/recoveries.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from birchstack.interface import Recovery, RecoveryStage
@@ -42,7 +43,8 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def __iter__(self):
+    def __iter__(self) -> Iterator[str]:
+        """The names of the endpoints, the one that changed longest ago first."""
         return iter(self._records)
 
     def keep(self, now: float, recovery: Recovery) -> list:
@@ -51,9 +53,10 @@
         self._set(recovery.endpoint, record)
         return self._words(recovery.endpoint, record)
 
-    def replay(self, stage: str, endpoint: str, since: float, documents: int, span_ms: float) -> None:
+    def replay(self, stage: str, endpoint: str, since: float | None, documents: int, span_ms: float) -> None:
         """A line as it was read."""
-        self._set(endpoint, Record(RecoveryStage(stage), float(since), int(documents), float(span_ms)))
+        since = None if since is None else float(since)
+        self._set(endpoint, Record(RecoveryStage(stage), since, int(documents), float(span_ms)))
 
     def replay_cut(self, line: bytes) -> None:
         """A line that is torn or spoilt: where its stage and endpoint can still be read, they count, and the
@@ -89,5 +92,5 @@
 
     @staticmethod
     def _words(endpoint: str, record: Record) -> list:
-        since = 0.0 if record.since is None else round(record.since, 1)
+        since = None if record.since is None else round(record.since, 1)
         return [record.stage.value, endpoint, since, record.documents, round(record.span_ms, 1)]
--- a/tests/test_recoveries.py
+++ b/tests/test_recoveries.py
@@ -76,6 +76,8 @@
     assert len(disk.files["ledger"]) == whole + RECORD
     del disk.files["ledger"][whole + RECORD - cut :]
     found = known(disk, 5000.0)
+    ledger_on(disk).compact()
+    assert known(disk, 5000.0) == found, "what was written anew says the same"
     if found.stage == WARMING:  # its time is not believed: the ramp begins again
         assert found.age_ms == 0.0 and found.span_ms == 0.0
     else:  # not even the name could be read
@@ -83,6 +85,16 @@
     assert [*ledger_on(disk).owed] == ["d"]
 
 
+@pytest.mark.parametrize(("cut", "stage"), [(1, DOWN), (15, DOWN), (19, DOWN), (20, None), (40, None)])
+def test_a_torn_record_that_is_the_only_one_tells_its_stage_where_it_still_has_its_name(cut, stage):
+    disk = Disk()
+    ledger_on(disk).remember(1000.0, Recovery("s-1", DOWN, 0.0, 40, 10000.0))
+    del disk.files["ledger"][-cut:]
+    found = known(disk, 5000.0)
+    assert (found and found.stage) == stage
+    assert found is None or (found.age_ms, found.span_ms) == (0.0, 0.0)
+
+
 @pytest.mark.parametrize("at", range(RECORD))
 def test_rot_in_a_record_never_makes_a_cold_endpoint_warm(at):
     disk = Disk()
@@ -140,6 +152,21 @@
         assert (found.documents, found.span_ms) == (50, 10000.0)
 
 
+def test_records_leave_room_to_write_the_ledger_anew():
+    disk, limit = Disk(), 1_000_000
+    ledger = Ledger(MemoryFolder(disk), limit)
+    for number in range(2000):  # more than are kept
+        ledger.remember(0.0, Recovery(f"s-{'x' * 70}-{number}", DOWN, 0.0, 123_456, 86_400_000.0))
+    ledger.compact()
+    number = 0
+    while ledger.fits([60_000]):
+        number += 1
+        ledger.take(f"d{number}", "sync", 1, None, 9000.0, b"x" * 60_000)
+    assert number > 5
+    disk.limit = limit
+    assert ledger.compact(), "the old file and the new one fit"
+
+
 def test_records_are_bounded_by_the_room_and_keep_the_newest():
     few = Recoveries(10 * recoveries.PART * recoveries.LINE)
     for number in range(25):
@@ -201,6 +228,23 @@
     assert [each.stage for each in story.remembered] == [DOWN, WARMING, WARM]
 
 
+def test_endpoints_of_one_destination_are_told_of_once_each():
+    story = Story(endpoints=("a", "b"))
+    for number in range(60):
+        story.take(f"d{number}")
+        story.at(story.now + 300.0)
+        end_calls(story, our.ERROR)
+    assert story.sender.avoided() == ["a", "b"]
+    assert sorted((each.endpoint, each.stage) for each in story.remembered) == [("a", DOWN), ("b", DOWN)]
+
+
+def test_a_wait_told_again_by_others_changes_no_stage():
+    story = Story()
+    for number in range(3):
+        story.sender.reported(story.now, our.Report("a", wait_ms=5000.0 + 1000.0 * number))
+    assert [each.stage for each in story.remembered] == [DOWN]
+
+
 def test_a_return_from_a_drain_is_remembered():
     story = Story()
     story.listed(["a"], our.CHANGES, our.DRAINING)
@@ -211,7 +255,7 @@
 
 def recovered(recovery, found=0):
     """A sender that starts with what the process before knew, and so many documents of its own."""
-    story = Story(slots=40)
+    story = Story(slots=40, senders=30)  # so many that its own rate counts, not its part of the least
     story.sender.recover(story.now, recovery)
     for number in range(found):
         past = our.Past(sent=0)
