Two stories of signals take the restarted sender's folder away, which tells it now, too

Cause: both asked that a sender killed and started again is told by keepers that an endpoint is down, by its log's second 'last told'. Change: its folder is lost in between, so that the keepers' word is again the only way, and the same is asked.

--- a/tests/test_signals_rig.py
+++ b/tests/test_signals_rig.py
@@ -231,6 +231,7 @@
         await says(rig, ["n4"], TOLD)
         await asyncio.sleep(0.5)  # all three were told of; what comes now is no news
         await rig["n4"].kill()
+        rig.lose_folder("n4")  # which would tell it, too
         await rig["n4"].start()
         await says(rig, ["n4"], TOLD, 2)
 
@@ -244,6 +245,7 @@
         rig.load(40, senders=["n1", "n2", "n3"])
         await says(rig, ["n4"], TOLD)
         await asyncio.gather(*(rig[name].kill() for name in rig.senders))
+        rig.lose_folder("n4")  # which would tell it, too
         await asyncio.gather(*(rig[name].start() for name in rig.senders))
         await says(rig, rig.senders, COMES, 2)
         await says(rig, ["n4"], TOLD, 2)
