Log and count each call, the end of each connection, each answer and notice

Change: net/call_log.py counts calls by outcome, connections by the reason of their end, and bytes that answer no call (a warning, the first three and each thousandth); /metrics shows them. BALANCER_LOG_LEVEL=debug logs each call with document, attempt, endpoint and connection, its end with outcome, status and time, and each answer, notice, delivery, client connection's end and repeated hand-in. Calls.count_malformed moved into it unchanged. No decision and no call changes.

--- a/birchstack/__main__.py
+++ b/birchstack/__main__.py
@@ -16,6 +16,15 @@
 from birchstack.net.sender import Node
 
 
+def _configure_log() -> None:
+    """Configures the log; BALANCER_LOG_LEVEL may ask for more (debug) or fewer lines than usual."""
+    level = os.environ.get("BALANCER_LOG_LEVEL", "info")
+    try:
+        log.configure(level.upper())
+    except ValueError as problem:
+        raise ConfigError(f"BALANCER_LOG_LEVEL: no such level: {level!r}") from problem
+
+
 def _audit_log(config: Config) -> tuple[Config, AuditLogFactory | None]:
     """Loads the audit log if BALANCER_FLEET enables it, and reserves its share of the configured limits.
 
@@ -61,8 +70,8 @@
     """Runs the sender until it is told to end. Returns the exit status: 2 if the configuration is wrong."""
     # Blocked until the event loop handles it: its default action would end the process
     signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
-    log.configure()
     try:
+        _configure_log()
         config, audit = _audit_log(load())
         config, store = _store(config)
     except ConfigError as problem:
--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -8,15 +8,16 @@
 from __future__ import annotations
 
 import asyncio
-import logging
+import itertools
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from birchstack import interface
 from birchstack.net import http1
+from birchstack.net.call_log import CallLog, CloseReason
 from birchstack.net.driver import Dial, Link
-from birchstack.net.log import check_invariant, log_event
+from birchstack.net.log import check_invariant
 
 PATH = "/hook"
 # After these a connection may stay idle for the next call
@@ -24,10 +25,7 @@
 DECIMAL = r"[0-9]{1,9}(?:\.[0-9]{0,18})?"
 LOAD_REPORT = re.compile(rf"(?:TEXT )?x0=({DECIMAL}), ?x1=({DECIMAL})")
 RESPONSE_REST_MS = 500.0  # a response must be complete this long after its status line, or it is malformed
-IDLE_TIME_SHARE = (
-    0.9  # of the endpoint's idle time-out: closes first, so that no call meets the endpoint's close
-)
-log = logging.getLogger(__name__)
+IDLE_TIME_SHARE = 0.9  # of the endpoint's idle time-out: no call meets the endpoint's close
 
 
 def classify_response(answer: http1.Response) -> tuple[str, bool, float]:
@@ -71,8 +69,12 @@
 
     def __init__(self, calls: Calls, endpoint: str, where: tuple[str, int]) -> None:
         self._calls = calls
+        self._log = calls.log
+        self.number = next(calls.connection_numbers)  # names the connection in the log
         self.endpoint = endpoint
         self.address = where
+        self._calls_carried = 0
+        self._answered_at = 0.0  # when the last call ended
         self._link: Link | None = None
         self._dial: Dial | None = None
         self._call: Call | None = None
@@ -116,14 +118,27 @@
         """Stays idle until the next call, or until shortly before the endpoint would close it."""
         self._timer = self._calls.call_later(self._calls.idle_ms * IDLE_TIME_SHARE, self._idle_expired)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Closes the connection at once, or gives up its dial."""
         self._stop_timer()
         if self._dial:
             self._dial.stop()
         if self._link:
+            self._log.connection_closed(self.number, self.endpoint, reason, self._calls_carried)
             self._link.abort()
 
+    def close_stale(self) -> None:
+        """Closes an idle connection that stale() found unfit for a call."""
+        if self._link is not None and self._link.unread_bytes() > 0:
+            self._note_unrequested()
+            self.close(CloseReason.UNREQUESTED_BYTES)
+        else:
+            self.close(CloseReason.CLOSED_BY_ENDPOINT)
+
+    def _note_unrequested(self) -> None:
+        since_answer_ms = self._calls.elapsed_since(self._answered_at)
+        self._log.bytes_unrequested(self.number, self.endpoint, since_answer_ms)
+
     def _stop_timer(self) -> None:
         if self._timer:
             self._timer.cancel()
@@ -143,6 +158,8 @@
         self._written = self._link.write(http1.request("POST", PATH, host, fields, call.body))
         if self._written:
             self._calls.transmitted += 1
+            self._calls_carried += 1
+            self._log.call_written(self.number, self.endpoint, call.doc_id, call.attempt, self._new)
         else:  # the connection was reset just now, and none of it was sent
             self._connect_failed()
 
@@ -152,24 +169,26 @@
         """Reports the call as connected."""
         self._link = link
         self._dial = None
+        self._log.connection_opened(self.number, self.endpoint)
         if self._call:
             self._calls.on_connected(self._call)
 
     def received(self, data: memoryview) -> None:
         """Parses the response, and ends the call once that is complete or malformed."""
-        if self._call is None:  # unsolicited bytes on an idle connection
-            self._calls.discard(self)
+        if self._call is None:
+            self._note_unrequested()
+            self._calls.discard(self, CloseReason.UNREQUESTED_BYTES)
             return
         if not self._written:  # cannot be the answer to a call that is not written yet
+            self._note_unrequested()
             self._connect_failed()
             return
         try:
             for event in self._reader.feed(data):
                 if isinstance(event, http1.Response):
                     self._answer = event
-                elif event is http1.END:  # further bytes answer no call
-                    keep = self._answer.keep_alive and not self._link.unsent and self._reader.between_messages
-                    self._end_call(keep, complete=True)
+                elif event is http1.END:
+                    self._on_response_complete()
                     return
         except http1.MalformedError as problem:
             self._malformed(str(problem))
@@ -186,10 +205,18 @@
         if self._reader.status == 200 and self._reader.complete_at_end():
             self._end_call(keep=False)  # the body has no meaning: no need to wait for its end
 
+    def _on_response_complete(self) -> None:
+        """Ends the call; further bytes that came with the response answer no call."""
+        alone = self._reader.between_messages
+        if not alone:
+            self._answered_at = self._calls.now()
+            self._note_unrequested()
+        self._end_call(keep=self._answer.keep_alive and not self._link.unsent and alone, complete=True)
+
     def lost(self) -> None:
         """Ends the call, if there is one; an idle connection leaves the pool."""
         if self._call is None:
-            self._calls.discard(self)
+            self._calls.discard(self, CloseReason.CLOSED_BY_ENDPOINT)
         else:
             self._end_call(keep=False, complete=self._answer is not None and self._reader.complete_at_end())
 
@@ -210,10 +237,10 @@
         self._end_call(keep=False, timed_out=True)
 
     def _idle_expired(self) -> None:
-        self._calls.discard(self)
+        self._calls.discard(self, CloseReason.IDLE_TIMEOUT)
 
     def _malformed(self, problem: str) -> None:
-        self._calls.count_malformed(self.endpoint, problem)
+        self._log.response_malformed(self.endpoint, problem)
         self._end_call(keep=False, malformed=True)
 
     def _end_call(
@@ -247,6 +274,15 @@
             kind = interface.ERROR
         else:
             kind = interface.TIMEOUT if timed_out else interface.RESET
+        self._answered_at = self._calls.now()
+        self._log.call_ended(
+            self.number,
+            self.endpoint,
+            call.doc_id,
+            kind,
+            self._reader.status,
+            self._calls.elapsed_since(call.written or call.started),
+        )
         self._calls.call_ended(
             self, call, keep and kind in REUSABLE_OUTCOMES, (kind, over, wait_ms, room, limit)
         )
@@ -280,7 +316,8 @@
         self.on_delivered = on_delivered
         self._on_end = on_end
         self.addresses: dict[str, tuple[str, int]] = {}  # by endpoint
-        self._malformed_count = 0
+        self.log = CallLog()
+        self.connection_numbers = itertools.count(1)
         self.transmitted = 0  # requests written completely to endpoints, for the metrics
         self._idle: dict[EndpointConnection, None] = {}  # oldest first
         self._busy: dict[str, EndpointConnection] = {}  # by document id
@@ -289,36 +326,27 @@
         """Calls a function after a time in milliseconds."""
         return self.loop.call_later(ms / 1000.0, function, *arguments)
 
+    def now(self) -> float:
+        """The time of the clock, in milliseconds."""
+        return self._clock()
+
     def elapsed_since(self, moment: float) -> float:
         """Milliseconds since a moment of the clock."""
         return self._clock() - moment
 
-    def count_malformed(self, endpoint: str, problem: str) -> None:
-        """Counts malformed responses; logs the first three and then each thousandth."""
-        self._malformed_count += 1
-        if self._malformed_count <= 3 or self._malformed_count % 1000 == 0:
-            log_event(
-                log,
-                "spoilt answer",
-                logging.WARNING,
-                endpoint=endpoint,
-                problem=problem,
-                count=self._malformed_count,
-            )
-
     def __len__(self) -> int:
         return len(self._busy)
 
     def remove_endpoint(self, endpoint: str) -> None:
         """Forgets an endpoint that left the list, except for its calls in flight."""
         self.addresses.pop(endpoint, None)
-        self.close_idle(endpoint)
+        self.close_idle(endpoint, CloseReason.ADDRESS_CHANGED)
 
     def set_address(self, endpoint: str, where: tuple[str, int]) -> None:
         """Sets the address of an endpoint; idle connections to another address are closed."""
         if self.addresses.get(endpoint) != where:
             self.addresses[endpoint] = where
-            self.close_idle(endpoint)
+            self.close_idle(endpoint, CloseReason.ADDRESS_CHANGED)
 
     def begin(self, call: Call) -> bool:
         """Assigns a connection to a call: True if an idle one is ready, False if one is dialled."""
@@ -359,7 +387,7 @@
             del self._idle[connection]
             if not connection.stale():
                 return connection
-            connection.close()
+            connection.close_stale()
         return None
 
     def call_ended(self, connection: EndpointConnection, call: Call, keep: bool, result: tuple) -> None:
@@ -373,24 +401,25 @@
             self._idle[connection] = None
             connection.start_idle()
             if len(self._idle) > self._max_idle:
-                self.discard(next(iter(self._idle)))
-        else:
-            connection.close()  # before the outcome is reported: one transmission of a document at a time
+                self.discard(next(iter(self._idle)), CloseReason.POOL_FULL)
+        else:  # before the outcome is reported: one transmission of a document at a time
+            answered = result[0] in REUSABLE_OUTCOMES or result[0] == interface.UNSENT
+            connection.close(CloseReason.NOT_KEPT_ALIVE if answered else CloseReason.CALL_FAILED)
         kind, *rest = result
         elapsed_ms = self.elapsed_since(call.started)
         self._on_end(call, interface.Outcome(kind, call.attempt, elapsed_ms, *rest, kept))
 
-    def discard(self, connection: EndpointConnection) -> None:
+    def discard(self, connection: EndpointConnection, reason: CloseReason) -> None:
         """Removes an idle connection from the pool, and closes it."""
         self._idle.pop(connection, None)
-        connection.close()
+        connection.close(reason)
 
-    def close_idle(self, endpoint: str) -> None:
+    def close_idle(self, endpoint: str, reason: CloseReason = CloseReason.BY_DECISION) -> None:
         """Closes the idle connections to an endpoint."""
         for connection in [each for each in self._idle if each.endpoint == endpoint]:
-            self.discard(connection)
+            self.discard(connection, reason)
 
     def close(self) -> None:
         """Closes all connections, those of calls in flight too."""
         for connection in [*self._idle, *self._busy.values()]:
-            connection.close()
+            connection.close(CloseReason.SHUTDOWN)
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -15,7 +15,7 @@
 
 from birchstack.net import http1
 from birchstack.net.driver import Link
-from birchstack.net.log import log_event
+from birchstack.net.log import log_debug, log_event
 from birchstack.net.machine import Listener, Machine
 from birchstack.net.room import max_accepting
 
@@ -212,7 +212,7 @@
             self._respond(problem.status, str(problem), close=True)
         if not self.gone and self.link.unsent:  # it sends requests and does not read the answers
             self._server.count("slow reader closed")
-            self.drop()
+            self.drop("slow reader")
 
     def _on_head(self, head: http1.Request) -> None:
         """Validates a request before its body arrives: one that is not valid is answered at once."""
@@ -279,9 +279,10 @@
         else:
             self._respond(408, "not complete in time", close=True)
 
-    def drop(self) -> None:
-        """Resets the connection."""
+    def drop(self, reason: str) -> None:
+        """Resets the connection; reason: for the log."""
         if self.link and not self.gone:
+            log_debug(log, "client connection reset", reason=reason)
             self.gone = True
             self._server.unregister(self)
             self.link.abort()
@@ -365,7 +366,7 @@
                 del self._leaving[link]
                 link.abort()
             elif free := silent or next((each for each in others if each.idle or each.stalled()), None):
-                free.drop()
+                free.drop("too many clients")
             else:
                 newest.refuse()
                 break
@@ -374,7 +375,7 @@
         """No descriptor is left to accept a connection: closes those that have been idle the longest."""
         self.count("no descriptor for a client")
         for client in [each for each in self._clients if each.idle][: max_accepting(self._max_clients)]:
-            client.drop()
+            client.drop("no descriptor")
 
     def unregister(self, client: ClientConnection) -> None:
         """Unregisters a connection."""
@@ -382,6 +383,7 @@
 
     def close_gracefully(self, client: ClientConnection) -> None:
         """Closes a connection gracefully, once its last answer is written."""
+        log_debug(log, "client connection closed", ending=self.ending, requested=client.has_requested)
         self.unregister(client)
         self._leaving[client.link] = None
         client.link.finish(lambda: self._leaving.pop(client.link, None))
--- a/birchstack/net/log.py
+++ b/birchstack/net/log.py
@@ -62,8 +62,11 @@
         self.dropped += 1
 
 
-def configure(level: int = logging.INFO) -> None:
-    """Configures the root logger to write key=value lines to standard error."""
+def configure(level: int | str = logging.INFO) -> None:
+    """Configures the root logger to write key=value lines to standard error.
+
+    level: a number or a name of the logging module; raises ValueError if there is no such name.
+    """
     handler = NonBlockingHandler(sys.stderr.fileno())
     handler.setFormatter(KeyValueFormatter())
     logging.basicConfig(level=level, handlers=[handler], force=True)
@@ -75,6 +78,12 @@
     log.log(level, event, extra={"fields": fields})
 
 
+def log_debug(log: logging.Logger, event: str, **fields: object) -> None:
+    """Logs an event with fields, if the level asks for debug lines."""
+    if log.isEnabledFor(logging.DEBUG):
+        log_event(log, event, logging.DEBUG, **fields)
+
+
 def check_invariant(condition: object, what: str) -> bool:
     """Checks an invariant: asserted in debug builds, else counted and logged (the first three times)."""
     if condition:
--- a/birchstack/net/notices.py
+++ b/birchstack/net/notices.py
@@ -13,7 +13,7 @@
 
 from birchstack.net import http1
 from birchstack.net.driver import Dial, Link
-from birchstack.net.log import log_event
+from birchstack.net.log import log_debug, log_event
 
 PATH = "/v1/notices"
 RESPONSE_TIMEOUT_S = 0.1  # first response time-out; doubled after each time-out in a row
@@ -134,6 +134,7 @@
         if self._dial:
             self._dial.stop()
         if self._link:
+            log_debug(log, "notice connection closed", in_flight=len(self._in_flight))
             self._link.abort()
         self._dial = self._link = None
 
--- a/birchstack/net/operators.py
+++ b/birchstack/net/operators.py
@@ -63,7 +63,7 @@
     listed: int  # endpoints in the list
     avoided: int  # of those, disabled by operators or avoided by the decisions
     reloads: tuple[int, int]  # configurations applied and rejected
-    extra: list[tuple[str, object]] = field(default_factory=list)  # metrics of the audit trail, if any
+    extra: list[tuple[str, object]] = field(default_factory=list)  # of calls, connections and the audit trail
 
     def text(self) -> str:
         """Formats one name=value per line, with the names that operators know."""
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -22,7 +22,7 @@
 from birchstack.net.front import ABANDONED, ACCEPTED, REJECTED, UNAVAILABLE, ClientRequest, ClientServer
 from birchstack.net.ledger import Ledger, LedgerEntry
 from birchstack.net.listed import EndpointList
-from birchstack.net.log import check_invariant, log_event, violations
+from birchstack.net.log import check_invariant, log_debug, log_event, violations
 from birchstack.net.machine import Machine, PersistentClock
 from birchstack.net.notices import Notices
 from birchstack.net.operators import Answer, Metrics, OperatorServer
@@ -279,6 +279,7 @@
         owed = self._ledger.entries.get(call.doc_id)
         if owed and check_invariant(owed.notice is None, "a document ends exactly once"):
             self._tally.count_delivered(owed.type)
+            log_debug(log, "delivered", doc=owed.id, endpoint=call.endpoint, attempt=call.attempt)
             if self.clock() < owed.deadline - EXPIRY_MARGIN_MS:
                 self._ledger.finish(owed)
             else:  # the platform may count it as expired: it also gets a notice, harmless if it does not
@@ -300,6 +301,7 @@
 
     def _on_acknowledged(self, ids: list[str]) -> None:
         for doc_id in ids:
+            log_debug(log, "notice acknowledged", doc=doc_id)
             owed = self._ledger.entries.get(doc_id)
             if owed:
                 self._ledger.finish(owed)
@@ -357,10 +359,12 @@
         age, gone = request.age_and_gone()
         advice_ms = self._config.settings.retry_after_ms
         if gone:
+            log_debug(log, "client gone", doc=request.id, age_ms=age)
             request.reply(UNAVAILABLE)  # the client does not read it, and the document was not accepted
         elif request.id in self._pending:
             self._pending[request.id].duplicates.append(request)
         elif request.id in self._answers or self._overflow and self._overflow.holds(request.id):
+            log_debug(log, "submitted again", doc=request.id)
             request.reply(*self._answers.get(request.id, (ACCEPTED, 0.0)))
         elif self._closing_at is not None and not self._handing_over:
             self._answer(request, UNAVAILABLE, advice_ms)
@@ -394,6 +398,7 @@
         if verdict != ACCEPTED:
             self._tally.count_undelivered(request.id, request.type, verdict == ABANDONED)
         self._remember({request.id: (verdict, wait_ms)})
+        log_debug(log, "answered", doc=request.id, verdict=verdict, wait_ms=wait_ms)
         request.reply(verdict, wait_ms, close=self._client_server.ending)
 
     def _remember(self, answers: dict[str, tuple[str, float]]) -> None:
@@ -525,6 +530,7 @@
                 self._tally.untried[why] += 1
                 log_event(log, "given up with no call", logging.WARNING, doc=doc_id, reason=why)
             self._tally.count_undelivered(owed.id, owed.type, result == "dead")
+            log_debug(log, "notice", doc=doc_id, result=result, wait_ms=wait_ms, attempts=owed.sent)
             self._ledger.record_notice(owed, result, wait_ms)
             self._notices.queue(doc_id, result, wait_ms)
 
@@ -606,7 +612,7 @@
             len(self._list.entries),
             avoided,
             tuple(self._reloads),
-            self._audit.figures() if self._audit else [],
+            [*self._calls.log.figures(), *(self._audit.figures() if self._audit else ())],
         )
 
     def _set_by_hand(self, endpoint: str, out: bool) -> Answer:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from birchstack.net.call_log import CallLog
 from birchstack.net.calls import Call, EndpointConnection
 
 
@@ -40,6 +41,8 @@
     dial_ms, idle_ms, loop, transmitted = 200.0, 1000.0, None, 0
 
     def __init__(self):
+        self.log = CallLog()
+        self.connection_numbers = iter(range(9))
         self.ends = []
         self.ok = []
         self.dropped = []
@@ -49,11 +52,11 @@
         self.timers.append(ms)
         return Timer()
 
-    def elapsed_since(self, moment):
+    def now(self):
         return 0.0
 
-    def count_malformed(self, endpoint, problem):
-        self.malformed = problem
+    def elapsed_since(self, moment):
+        return 0.0
 
     def on_delivered(self, call):
         self.ok.append(call.doc_id)
@@ -61,7 +64,7 @@
     def call_ended(self, connection, call, keep, how):
         self.ends.append((how[0], keep))
 
-    def discard(self, connection):
+    def discard(self, connection, reason):
         self.dropped.append(connection)
 
 
