--- a/birchstack/emulator/rig/links.py
+++ b/birchstack/emulator/rig/links.py
@@ -1,9 +1,9 @@
 """Links between two parties of a rig, with fault injection, for real and for virtual time.
 
 A link relays the bytes between two parties without reading them, and can delay them, limit their rate, drop
-them in one direction or both, hold them back, and reset or refuse connections. The stage (sockets or the
-emulator's network) provides addresses, connections and time. A link listens at an address of its own, by
-which the target recognizes the caller.
+them in one direction or both, hold them back, deliver them a second time, and reset or refuse connections.
+The stage (sockets or the emulator's network) provides addresses, connections and time. A link listens at an
+address of its own, by which the target recognizes the caller.
 
 A cut behaves like a network partition under TCP: bytes are dropped, a dial is never answered, and neither end
 is told; when the cut ends, connections that lost bytes are reset. A held link loses nothing: the bytes that
@@ -44,12 +44,18 @@
 
 
 class Direction:
-    """State of one direction of a link. rate: bytes per second, 0 for no limit."""
+    """State of one direction of a link. rate: bytes per second, 0 for no limit.
+
+    draw_copy: called for each write; returns after how many milliseconds a second copy of its bytes follows,
+    or None for no copy.
+    """
 
     def __init__(self) -> None:
         self.delay_ms = self.rate = 0.0
         self.cut = self.held = False
         self.bytes = 0
+        self.draw_copy: Callable[[], float | None] | None = None
+        self.copies = 0  # copies delivered
 
 
 class Stream:
@@ -76,8 +82,16 @@
         transfer_ms = size * 1000.0 / direction.rate if direction.rate else 0.0
         self._due_at = max(now + direction.delay_ms, self._due_at) + transfer_ms
         self._queue.append((self._due_at, item))
+        copy_after_ms = direction.draw_copy() if direction.draw_copy and size else None
+        if copy_after_ms is not None:
+            self._link.stage.after(self._due_at - now + copy_after_ms, self._deliver_copy, item)
         self.release()
 
+    def _deliver_copy(self, data: object) -> None:
+        if not (self.direction.cut or self.direction.held):
+            self.direction.copies += 1
+            self._deliver(data)
+
     def release(self) -> None:
         """Delivers what is due, unless the direction is held."""
         now = self._link.stage.now_ms()
@@ -312,6 +326,11 @@
         for direction in self.ways(way):
             direction.rate = rate
 
+    def copy(self, draw: Callable[[], float | None], way: str = BACK) -> None:
+        """Delivers the bytes of some writes a second time, as a faulty proxy does; see Direction."""
+        for direction in self.ways(way):
+            direction.draw_copy = draw
+
     def refuse(self) -> None:
         """Refuses connections."""
         self.stage.refuse(self.host, True)
@@ -326,6 +345,7 @@
         for each in self.ways(way):
             each.cut = each.held = False
             each.delay_ms = each.rate = 0.0
+            each.draw_copy = None
         if self.host.refusing:
             self.stage.refuse(self.host, False)
         for each in [*self.connections]:
--- a/birchstack/emulator/rig/parties.py
+++ b/birchstack/emulator/rig/parties.py
@@ -19,15 +19,27 @@
 from birchstack.emulator.peers import Server, message
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Seen:
-    """A call as its endpoint received it: time of the last byte, sender, status of the answer (0: none)."""
+    """A call as its endpoint received it: time of the last byte, sender, status of the answer (0: none).
+
+    ended_ms: when its answer was written or its connection ended, None while it is in progress. answered:
+    whether the answer was written.
+    """
 
     at_ms: float
     sender: str
     doc: str
     endpoint: str
     status: int = 200
+    ended_ms: float | None = None
+    answered: bool = False
+
+    def end(self, now_ms: float, answered: bool) -> None:
+        """Records the end of the call, once."""
+        if self.ended_ms is None:
+            self.ended_ms = now_ms
+            self.answered = answered
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,6 +266,8 @@
         self.shut_until: dict[str, float] = {}
         self.cold: dict[str, ColdReturn] = {}  # by uid; these fail when they are overloaded
         self.flaky: dict[str, float] = {}  # by uid: share of the calls answered with an error
+        self.busy_share = 0.0  # share of the calls that are refused with a 503
+        self.spread_ms = 0.0  # an answer takes up to this much longer than answer_ms
         self.chance = random.Random("flaky endpoints")
 
     def accept(self, uid: str) -> Callable[[str], EndpointPeer]:
@@ -269,6 +283,13 @@
         self._endpoints = endpoints
         self._uid = uid
         self._caller = caller
+        self._calls: list[Seen] = []  # in progress
+
+    def ended(self, reset: bool) -> None:
+        """Ends the calls in progress without an answer."""
+        super().ended(reset)
+        for call in self._calls:
+            call.end(self._endpoints.stage.now_ms(), answered=False)
 
     def request_received(self, method: str, target: str, fields: dict[str, str], body: bytes) -> None:
         """Records a call and schedules its answer."""
@@ -276,21 +297,30 @@
         status = endpoints.status.get(self._uid, 200)
         if self._uid in endpoints.flaky and endpoints.chance.random() < endpoints.flaky[self._uid]:
             status = 500
+        if endpoints.busy_share and endpoints.chance.random() < endpoints.busy_share:
+            status = 503
         now_ms = endpoints.stage.now_ms()
         if self._uid in endpoints.cold and not endpoints.cold[self._uid].accepts_call(now_ms):
             status = 0
         left_ms = int(endpoints.shut_until.get(self._uid, 0.0) - now_ms)
         if left_ms > 0:
             status = 429
-        endpoints.calls.append(Seen(now_ms, self._caller, fields["request-id"], self._uid, status))
+        call = Seen(now_ms, self._caller, fields["request-id"], self._uid, status)
+        endpoints.calls.append(call)
+        self._calls.append(call)
         if not status:
             return
         wait_ms = left_ms if left_ms > 0 else endpoints.waits.get(self._uid)
         wait = {"X-Come-Back-Ms": wait_ms} if status == 429 and wait_ms is not None else None
-        endpoints.stage.after(endpoints.answer_ms, self._answer, message(status, wait))
+        answer_ms = endpoints.answer_ms
+        if endpoints.spread_ms:
+            answer_ms += endpoints.spread_ms * endpoints.chance.random()
+        endpoints.stage.after(answer_ms, self._answer, call, message(status, wait))
 
-    def _answer(self, text: bytes) -> None:
+    def _answer(self, call: Seen, text: bytes) -> None:
         if not self.gone:
+            self._calls.remove(call)
+            call.end(self._endpoints.stage.now_ms(), answered=True)
             self.port.write(text)
 
     def malformed(self, problem: str) -> None:
