Each request with notices gets a connection of its own, so that no copy acknowledges another

Cause: Notices.received took the next response on a connection that stays open for the answer to the batch in flight, and sent the next batch in the pass in which the answer came. A copy of a 204 that arrived then acknowledged a batch whose own answer had not come; if that batch was lost with its connection or refused, its notices were forgotten.

Evidence: test_a_late_copy_of_an_acknowledgement_acknowledges_no_later_notice, a copy 20 ms late: ['d0', 'd1'] acknowledged before, ['d0'] now.

Change: one request a connection, told to the platform by Connection: close. A batch queued from within an acknowledgement is sent once.

--- a/birchstack/net/notices.py
+++ b/birchstack/net/notices.py
@@ -1,7 +1,8 @@
 """Notifies the platform of documents that ended undelivered, and repeats each notice until acknowledged.
 
-Owns one connection to the platform and the pending notices. Must never drop a notice before the platform has
-answered it with 204; across restarts the ledger stores them.
+Owns the connection to the platform, a new one for each request, and the pending notices. Must never drop a
+notice before the platform has answered it with 204; across restarts the ledger stores them. On a connection
+that had been used, a second copy of an earlier answer could acknowledge notices that never arrived.
 """
 
 from __future__ import annotations
@@ -66,28 +67,23 @@
             self._failed()
 
     def _send(self) -> None:
-        """Sends the next batch, over a new connection if none is open."""
+        """Sends the next batch, over a new connection."""
         self._timer = None
         if not self._waiting:
             return
         self._in_flight = list(self._waiting)[: self._batch_size]
         self._timer = self._loop.call_later(self._answer_timeout_s, self._timed_out)
-        if self._link and not self._link.closed:
-            self._write()
-        else:
-            self._reader = http1.ResponseReader()
-            self._answer = None
-            self._dial = Dial(self._loop, self._address, self, self._failed)
-
-    def _write(self) -> None:
-        body = b"".join(self._waiting[each] for each in self._in_flight)
-        fields = {"Content-Type": "application/json"}
-        self._link.write(http1.request("POST", PATH, "{}:{}".format(*self._address), fields, body))
+        self._reader = http1.ResponseReader()
+        self._answer = None
+        self._dial = Dial(self._loop, self._address, self, self._failed)
 
     def opened(self, link: Link) -> None:
-        """Called when the connection is established."""
-        self._link, self._dial = link, None
-        self._write()
+        """Called when the connection is established: sends the request."""
+        self._link = link
+        self._dial = None
+        body = b"".join(self._waiting[each] for each in self._in_flight)
+        fields = {"Content-Type": "application/json", "Connection": "close"}
+        link.write(http1.request("POST", PATH, "{}:{}".format(*self._address), fields, body))
 
     def received(self, data: memoryview) -> None:
         """Called with data from the connection."""
@@ -95,20 +91,16 @@
             for event in self._reader.feed(data):
                 if isinstance(event, http1.Response):
                     self._answer = event
-                elif event is http1.END:  # data behind the response cannot answer a later request
-                    if not (self._answer.keep_alive and self._reader.between_messages and self._in_flight):
-                        self._disconnect()
-                    if self._in_flight:
-                        self._answered(self._answer.status)
+                elif event is http1.END:
+                    self._disconnect()
+                    self._answered(self._answer.status)
                     return
         except http1.MalformedError:
             self._failed()
 
     def lost(self) -> None:
         """Called when the connection is lost."""
-        self._link = None
-        if self._in_flight:
-            self._failed()
+        self._failed()
 
     def _answered(self, status: int) -> None:
         """Processes the response to the batch in flight."""
@@ -122,7 +114,8 @@
                 self._waiting.pop(each, None)
             self._batch_size = MAX_BATCH
             self._on_acknowledged(batch)
-            self._send()
+            if not self._in_flight:
+                self._send()
         else:
             self._batch_size = 1  # one notice that the platform refuses must not block the others
             for each in batch[:1] if len(batch) == 1 else []:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -353,6 +353,25 @@
     run_notices(story, lambda writer, times: writer.write(answers.get(times, b"HTTP/1.1 204 No\r\n\r\n")))
 
 
+def test_a_late_copy_of_an_acknowledgement_acknowledges_no_later_notice():
+    async def story(notices, posts, known):
+        notices.queue("d0", "dead", 0.0)
+        notices.queue("d1", "dead", 0.0)  # waits for the answer to the first
+        await until(lambda: len(posts) == 2)
+        await asyncio.sleep(0.05)  # the copy comes meanwhile, and the second post has no answer yet
+        assert known == ["d0"]
+        await until(lambda: known == ["d0", "d1"])
+
+    def respond(writer, times):
+        if times == 1:
+            writer.write(b"HTTP/1.1 204 No\r\n\r\n")
+            asyncio.get_running_loop().call_later(0.02, writer.write, b"HTTP/1.1 204 No\r\n\r\n")
+        elif times > 2:
+            writer.write(b"HTTP/1.1 204 No\r\n\r\n")
+
+    run_notices(story, respond)
+
+
 # A delivery against the expiry of its document
 
 
