A second copy of an older change in a watch is not applied

Cause: Watch._apply took each list or change for the newest, whatever its version. A copy of an earlier line of the same watch undid what came after it.

Evidence: test_a_copy_of_an_older_change_in_a_watch_brings_no_endpoint_back: versions 8, 9, 10 (leaving), then 9 again; before, the endpoint was ready again and nothing was asked (time-out of the test).

Change: within one watch versions only grow; an older one ends the watch, and the next request tells the version that is held. An older list as the first of a new watch counts as before (an agent that was restored).

--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -80,6 +80,7 @@
         self._on_list = on_list
         self._accepts = accepts
         self._version = 0
+        self._version_of_watch = 0  # the last version that the current request delivered
         self._heard_at = loop.time()
         self._requested_at = 0.0
         self._known: tuple[dict, list, int] | None = None  # the configured list, until a watch delivers one
@@ -134,6 +135,7 @@
         self._buffer = bytearray()
         self._lines = []
         self._depth = self._size = 0
+        self._version_of_watch = 0
         self._requested_at = self._loop.time()
         self._timer = self._loop.call_at(self._requested_at + RESPONSE_TIMEOUT_S, self._request)
         self._dial = Dial(self._loop, self._address, self, self._retry)
@@ -231,11 +233,19 @@
         return message, listed, rev
 
     def _apply(self, text: bytes) -> bool:
-        """Applies a list or delta; returns False and leaves the list as it was if it is malformed."""
+        """Applies a list or delta; returns False and leaves the list as it was if it is malformed.
+
+        The versions of one watch only grow: an older one is a copy of what was applied before, and would undo
+        what came since. The next request tells which version is held.
+        """
         read = self._read(text)
         if read is None:
             return False
         message, listed, rev = read
+        if rev < self._version_of_watch:
+            log_event(log, "older list in a watch", logging.WARNING, rev=rev, held=self._version_of_watch)
+            return False
+        self._version_of_watch = rev
         if message.get("all"):
             self._known = None
         self._apply_known()  # a delta to the configured list needs that list first
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -197,6 +197,27 @@
     run_watch(story, respond)
 
 
+def test_a_copy_of_an_older_change_in_a_watch_brings_no_endpoint_back():
+    def line(rev, state, whole=False):
+        entry = {**ENTRY, "state": state}
+        return chunk(json.dumps({"rev": rev, "all": whole, "targets": [entry]}).encode() + b"\n")
+
+    async def respond(writer, times):
+        if times == 1:
+            writer.write(HEAD + line(8, "active", True) + line(9, "active") + line(10, "leaving"))
+            writer.write(line(9, "active"))
+        else:
+            writer.write(HEAD + line(11, "leaving"))
+
+    async def story(watch, heard, asked):
+        await until(lambda: len(asked) == 2 and len(heard) == 4)
+        assert asked[1].split()[1].endswith("after=10")
+        ready = [listed[0][0].state == interface.READY for _, listed in heard]
+        assert ready == [True, True, False, False]
+
+    run_watch(story, respond)
+
+
 # Shutdown of a process
 
 
