A failure after the last endpoint of its route has left the list no longer raises

What callers would see: a document taken on whose call fails after its destination's only endpoint was removed gets no answer from the decisions; the sender's safety net ends it 100 ms late and counts a broken invariant.

Cause: Sender._learn asked max() of the endpoints of the route, which has none then.

Evidence: test_a_failure_after_the_last_endpoint_of_a_route_left_the_list_ends_its_document, three outcomes: 'ValueError: max() arg is an empty sequence' before.

Change: without endpoints the call's own endpoint tells when the route served last.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -931,7 +931,8 @@
         endpoint.streak_began_at = endpoint.streak_began_at if endpoint.failure_streak else now
         endpoint.failure_streak += 1
         endpoint.last_failed_at = now
-        if not call.probe and call.sent_at >= max(each.served_at for each in route.endpoints):
+        last_served_at = max((each.served_at for each in route.endpoints), default=endpoint.served_at)
+        if not call.probe and call.sent_at >= last_served_at:
             route.run_began_at = route.run_began_at if route.failure_run else call.sent_at
             route.failure_run += 1
         extra_failures = BRIEF_FAILURES * (
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -219,3 +219,13 @@
     for doc_id in ["b1", "b2", "b3"]:
         story.take(doc_id, tenant="flood")
     assert story.said == [("b3", "rejected")]
+
+
+@pytest.mark.parametrize("kind", MAY_HAVE_RUN)
+def test_a_failure_after_the_last_endpoint_of_a_route_left_the_list_ends_its_document(kind):
+    story = Story()
+    story.take("d")
+    story.listed(["a"], mode=interface.CHANGES, state=interface.GONE)
+    story.ends("d", kind, 100)
+    story.at(21000.0)
+    assert [doc for doc, _ in story.said] == ["d"]
