A listener whose accept fails gives way to other work and leaves no trace each pass

What callers would see: while accept() fails with ECONNABORTED on end, the sender does nothing else (no answer, no notice, no end at SIGTERM); other errors that accept(2) documents (EPROTO, ENETDOWN, EHOSTUNREACH, EPERM, ...) write a traceback in every pass of the event loop.

Cause: Listener._accept went on in its loop after ECONNABORTED and raised what it did not foresee.

Evidence: test_a_listener_that_cannot_accept_for_a_while_lets_other_work_run_and_continues, seven errors: before, 'accepting never gives way' for ECONNABORTED, thousands of exceptions in 50 ms for the others but EINTR.

Change: ECONNABORTED gives way like EAGAIN; any other error pauses accepting for 0.1 s, as exhausted descriptors did.

--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -111,9 +111,9 @@
 
     asyncio's own server accepts a whole backlog in one pass, before the protocols of those connections know
     of them; when descriptors run out it logs each attempt and accepts nothing for a second. Here at most
-    `max_accepting` connections are being accepted and the others wait in the kernel; when descriptors run
-    out, on_exhausted() may close something, and accepting pauses for ACCEPT_PAUSE_S. Drawback: a burst takes
-    more passes of the event loop."""
+    `max_accepting` connections are being accepted and the others wait in the kernel; when accepting fails, it
+    pauses for ACCEPT_PAUSE_S, and when descriptors ran out, on_exhausted() may close something. Drawback: a
+    burst takes more passes of the event loop."""
 
     def __init__(
         self,
@@ -152,21 +152,22 @@
         while len(self._accepting) < self._max_accepting:
             try:
                 client, _ = self._socket.accept()
-            except ConnectionAbortedError:
-                continue
-            except (BlockingIOError, InterruptedError):
-                return
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return  # the event loop calls again in its next pass if a connection still waits
             except OSError as problem:
-                if problem.errno not in EXHAUSTED:
-                    raise
-                self._loop.remove_reader(self._socket)
-                self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
-                self._on_exhausted()
+                self._pause(problem)
                 return
             task = self._loop.create_task(self._connect(client))
             self._accepting.add(task)
             task.add_done_callback(self._accepting.discard)
 
+    def _pause(self, problem: OSError) -> None:
+        """Accepts nothing for ACCEPT_PAUSE_S: any other error would come back in each pass."""
+        self._loop.remove_reader(self._socket)
+        self._loop.call_later(ACCEPT_PAUSE_S, self._resume)
+        if problem.errno in EXHAUSTED:
+            self._on_exhausted()
+
     async def _connect(self, client: socket.socket) -> None:
         with contextlib.suppress(OSError):  # the client has already gone
             await self._loop.connect_accepted_socket(self._protocol, client)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -180,6 +180,50 @@
         return super().accept()
 
 
+@pytest.mark.parametrize(
+    "number",
+    [
+        errno.ECONNABORTED,
+        errno.EINTR,
+        errno.EPROTO,
+        errno.ENETDOWN,
+        errno.EHOSTUNREACH,
+        errno.EPERM,
+        errno.ETIMEDOUT,
+    ],
+)
+def test_a_listener_that_cannot_accept_for_a_while_lets_other_work_run_and_continues(number):
+    class FailingDoor(socket.socket):
+        failing, tried = True, 0
+
+        def accept(self):
+            if not self.failing:
+                return super().accept()
+            self.tried += 1
+            if self.tried > 100000:
+                raise SystemExit("accepting never gives way")
+            raise OSError(number, os.strerror(number))
+
+    async def whole():
+        accepted, problems = [], []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: problems.append(context))
+        with FailingDoor() as door:
+            door.bind(("127.0.0.1", 0))
+            door.listen()
+            listener = Listener(loop, door, lambda: accepted.append(1) or asyncio.Protocol(), 2, lambda: None)
+            with socket.create_connection(door.getsockname()):
+                await asyncio.sleep(0.05)
+                assert door.tried and not accepted and not problems
+                door.failing = False
+                async with asyncio.timeout(2.0):
+                    while not accepted:
+                        await asyncio.sleep(0.005)
+            listener.close()
+
+    asyncio.run(whole())
+
+
 def test_accepting_pauses_while_no_descriptor_is_left_and_then_continues():
     async def whole():
         reported, accepted = [], []
