Soak: failing system calls, folders and clocks, spoilt and cut answers, silent lists

Change: rig/shim.py runs a sender whose accept, connect, send, recv and file writes fail, are short or interrupted in spells, and whose wall clock is stepped; links can alter what they relay; the soak draws these too, and where no process is ended and no connection broken each request must be answered. Faults by signals at one sender wait for each other (a SIGHUP to a starting interpreter ends it: the run's own fault, seen once).

--- a/birchstack/emulator/rig/links.py
+++ b/birchstack/emulator/rig/links.py
@@ -47,7 +47,8 @@
     """State of one direction of a link. rate: bytes per second, 0 for no limit.
 
     draw_copy: called for each write; returns after how many milliseconds a second copy of its bytes follows,
-    or None for no copy.
+    or None for no copy. alter: called with the bytes of each write; returns what is relayed in their place,
+    and whether the connection is reset behind it.
     """
 
     def __init__(self) -> None:
@@ -56,6 +57,7 @@
         self.bytes = 0
         self.draw_copy: Callable[[], float | None] | None = None
         self.copies = 0  # copies delivered
+        self.alter: Callable[[bytes], tuple[bytes, bool]] | None = None
 
 
 class Stream:
@@ -77,6 +79,10 @@
         if direction.cut:
             self.lost_bytes = True
             return
+        if direction.alter and isinstance(item, bytes):
+            item, resets = direction.alter(item)
+            if resets:
+                self._link.stage.after(direction.delay_ms, self._deliver, RESET)
         size = len(item) if isinstance(item, bytes) else 0
         direction.bytes += size
         transfer_ms = size * 1000.0 / direction.rate if direction.rate else 0.0
@@ -331,6 +337,11 @@
         for direction in self.ways(way):
             direction.draw_copy = draw
 
+    def alter(self, change: Callable[[bytes], tuple[bytes, bool]], way: str = BACK) -> None:
+        """Relays other bytes than were written, and may reset the connection behind them; see Direction."""
+        for direction in self.ways(way):
+            direction.alter = change
+
     def refuse(self) -> None:
         """Refuses connections."""
         self.stage.refuse(self.host, True)
@@ -345,7 +356,7 @@
         for each in self.ways(way):
             each.cut = each.held = False
             each.delay_ms = each.rate = 0.0
-            each.draw_copy = None
+            each.draw_copy = each.alter = None
         if self.host.refusing:
             self.stage.refuse(self.host, False)
         for each in [*self.connections]:
--- a/birchstack/emulator/rig/soak.py
+++ b/birchstack/emulator/rig/soak.py
@@ -9,11 +9,15 @@
 import asyncio
 import random
 import signal
+import sys
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from birchstack.emulator.rig import shim
 from birchstack.emulator.rig.links import BACK, BOTH, Link
+from birchstack.emulator.rig.processes import shell
 from birchstack.emulator.rig.real import Rig
 from birchstack.emulator.rig.rules import Violation, violations
 
@@ -27,6 +31,9 @@
 MAX_FAULTS = 5  # faults in a run
 RESTART_AFTER_S = 0.6
 SIGKILL_AFTER_S = 3.7  # after SIGTERM
+CALL_FAULTS = ("accept", "connect", "short", "broken", "folder", "clock")  # of shim.py
+SHIMMED_SHARE = 0.6  # of the runs
+BREAKING_FAULTS = ("SIGTERM", "SIGKILL", "broken")  # a client's connection may end with its process, or break
 
 
 @dataclass
@@ -39,6 +46,11 @@
     problems: list[str] = field(default_factory=list)  # processes that ended by themselves, logged faults
     figures: Counter = field(default_factory=Counter)
 
+    @property
+    def connections_last(self) -> bool:
+        """Whether no fault of the run may end a client's connection without an answer."""
+        return not any(word in fault for fault in self.faults for word in BREAKING_FAULTS)
+
     @property
     def failed(self) -> bool:
         """Whether a rule was broken or a process failed."""
@@ -52,15 +64,21 @@
         self._rig = rig
         self._run = run
         self._chance = random.Random(f"soak {run.seed}")
+        self._signals = {name: asyncio.Lock() for name in rig.senders}  # one fault by signals at a time
         self._kinds = {
             "copied answers": self._copy_answers,
             "copied lists": self._copy_lists,
             "copied requests": self._copy_requests,
+            "spoilt answers": self._spoil_answers,
+            "answers cut short": self._cut_answers_short,
+            "silent list": self._silence_list,
             "endpoint resets": self._reset_endpoints,
             "list resets": self._reset_lists,
             "delay": self._delay,
             "slow link": self._slow,
             "refused connections": self._refuse,
+        }
+        self._signal_kinds = {
             "paused process": self._pause,
             "SIGHUP": self._reload,
             "SIGTERM": self._terminate,
@@ -70,7 +88,7 @@
 
     async def inject(self) -> None:
         """Injects the faults of the run; returns when all have ended."""
-        chosen = self._chance.sample([*self._kinds], self._chance.randint(1, MAX_FAULTS))
+        chosen = self._chance.sample([*self._kinds, *self._signal_kinds], self._chance.randint(1, MAX_FAULTS))
         victims = self._rig.senders[:]
         self._chance.shuffle(victims)
         await asyncio.gather(
@@ -82,7 +100,11 @@
         for_s = self._chance.uniform(0.3, 2.0)
         self._run.faults.append(f"{kind} at {sender}, {at_s:.1f} s")
         await asyncio.sleep(at_s)
-        await self._kinds[kind](sender, for_s)
+        if kind in self._kinds:
+            await self._kinds[kind](sender, for_s)
+            return
+        async with self._signals[sender]:
+            await self._signal_kinds[kind](sender, for_s)
 
     def _endpoint_links(self, sender: str) -> list[Link]:
         return [self._rig.link(sender, uid) for uid in self._rig.uids]
@@ -112,6 +134,30 @@
     async def _copy_requests(self, sender: str, seconds: float) -> None:
         await self._copy([self._rig.link("clients", sender)], "there", seconds)
 
+    async def _alter(
+        self, sender: str, seconds: float, change: Callable[[bytes], tuple[bytes, bool]]
+    ) -> None:
+        share = self._chance.uniform(0.1, 0.5)
+
+        def alter(data: bytes) -> tuple[bytes, bool]:
+            return change(data) if self._chance.random() < share else (data, False)
+
+        links = self._endpoint_links(sender)
+        for link in links:
+            link.alter(alter)
+        await self._open_after(links, seconds)
+
+    async def _spoil_answers(self, sender: str, seconds: float) -> None:
+        await self._alter(sender, seconds, lambda data: (b"\x90" + data[1:], False))
+
+    async def _cut_answers_short(self, sender: str, seconds: float) -> None:
+        await self._alter(sender, seconds, lambda data: (data[: self._chance.randrange(len(data))], True))
+
+    async def _silence_list(self, sender: str, seconds: float) -> None:
+        link = self._rig.link(sender, "list")
+        link.cut()
+        await self._open_after([link], min(seconds, 1.0))
+
     async def _reset(self, links: list[Link], seconds: float) -> None:
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
@@ -187,9 +233,22 @@
         await asyncio.sleep(1.0 / per_second)
 
 
+def _draw_command(chance: random.Random, run: SoakRun) -> str | None:
+    """Returns the command of senders whose system calls fail, or None for the usual one."""
+    if chance.random() >= SHIMMED_SHARE:
+        return None
+    names = chance.sample(CALL_FAULTS, chance.randint(1, 2))
+    run.faults.append(f"failing calls: {', '.join(names)}")
+    given = f"{shim.VARIABLE}={','.join([str(run.seed), *names])}"
+    return shell("env", given, sys.executable, "-m", shim.__name__)
+
+
 async def _play(folder: Path, run: SoakRun) -> None:
     chance = random.Random(f"soak traffic {run.seed}")
-    async with Rig(folder, SENDERS, 0, ENDPOINTS, DESTINATIONS, fleet=None, seed=run.seed) as rig:
+    command = _draw_command(random.Random(f"soak calls {run.seed}"), run)
+    async with Rig(
+        folder, SENDERS, 0, ENDPOINTS, DESTINATIONS, fleet=None, run=command, seed=run.seed
+    ) as rig:
         rig.endpoints.busy_share = chance.choice((0.0, 0.02))
         rig.endpoints.flaky = {uid: chance.choice((0.0, 0.04)) for uid in rig.uids}
         rig.endpoints.answer_ms = chance.uniform(5.0, 40.0)
@@ -198,6 +257,9 @@
         await asyncio.gather(_submit(rig, chance, per_second), FaultInjector(rig, run).inject())
         await asyncio.sleep(SETTLE_S)
         run.found = violations(rig.clients, rig.endpoints, rig.list, ONCE)
+        if run.connections_last:
+            silent = [each.doc for each in rig.clients.handed.values() if each.status <= 0]
+            run.problems += [f"{doc} got no answer" for doc in silent]
         for name in rig.senders:
             if not rig[name].runs:
                 run.problems.append(f"{name} does not run at the end")
