--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -197,6 +197,27 @@
     run_watch(story, respond)
 
 
+def test_a_copy_of_an_older_change_in_a_watch_brings_no_endpoint_back():
+    def line(rev, state, whole=False):
+        entry = {**ENTRY, "state": state}
+        return chunk(json.dumps({"rev": rev, "all": whole, "targets": [entry]}).encode() + b"\n")
+
+    async def respond(writer, times):
+        if times == 1:
+            writer.write(HEAD + line(8, "active", True) + line(9, "active") + line(10, "leaving"))
+            writer.write(line(9, "active"))
+        else:
+            writer.write(HEAD + line(11, "leaving"))
+
+    async def story(watch, heard, asked):
+        await until(lambda: len(asked) == 2 and len(heard) == 4)
+        assert asked[1].split()[1].endswith("after=10")
+        ready = [listed[0][0].state == interface.READY for _, listed in heard]
+        assert ready == [True, True, False, False]
+
+    run_watch(story, respond)
+
+
 # Shutdown of a process
 
 
@@ -353,6 +374,25 @@
     run_notices(story, lambda writer, times: writer.write(answers.get(times, b"HTTP/1.1 204 No\r\n\r\n")))
 
 
+def test_a_late_copy_of_an_acknowledgement_acknowledges_no_later_notice():
+    async def story(notices, posts, known):
+        notices.queue("d0", "dead", 0.0)
+        notices.queue("d1", "dead", 0.0)  # waits for the answer to the first
+        await until(lambda: len(posts) == 2)
+        await asyncio.sleep(0.05)  # the copy comes meanwhile, and the second post has no answer yet
+        assert known == ["d0"]
+        await until(lambda: known == ["d0", "d1"])
+
+    def respond(writer, times):
+        if times == 1:
+            writer.write(b"HTTP/1.1 204 No\r\n\r\n")
+            asyncio.get_running_loop().call_later(0.02, writer.write, b"HTTP/1.1 204 No\r\n\r\n")
+        elif times > 2:
+            writer.write(b"HTTP/1.1 204 No\r\n\r\n")
+
+    run_notices(story, respond)
+
+
 # A delivery against the expiry of its document
 
 
