Records that a failing folder refused are written once it works again

What callers would see: a document that had its notice while the folder failed (ENOSPC, EIO) could be owed again after a restart and be sent behind its final answer. With a body on disk its removal stood in for the record; an empty body, or a failing removal, had nothing.

Cause: Ledger._append_or_log logged the failure and forgot the record.

Evidence: test_a_notice_that_a_failing_folder_refused_is_written_once_the_folder_works: with the new call made empty the recovered document has no notice.

--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -90,6 +90,7 @@
         self.waits: dict[str, float] = {}  # by endpoint, wall-clock time until which it asked to wait
         self.recoveries = RecoveryRecords(self._limit)
         self._unsaved_recoveries: dict[str, list] = {}  # by endpoint, records that did not fit on a full disk
+        self._records_lost = False  # a write failed: the file does not have the current state
         self.on_freed: Callable[[int], None] = lambda destination: None  # called when a document or call ends
         self._adopted: dict[str, bool] = {}  # adopted standby files, and whether the own file records it
         self._body_bytes = self._file_bytes = self._next_body = 0
@@ -210,6 +211,14 @@
         self._release_body(entry)
         self._maintain()
 
+    def save_lost_records(self) -> None:
+        """Writes the current state anew if an earlier write failed; to be called from time to time.
+
+        Without it, a document that had its notice while the folder failed would be sent after a restart.
+        """
+        if self._records_lost:
+            self.compact()
+
     def close(self) -> None:
         """Closes the file, and releases the standby lock if there is one."""
         self._folder.close(self._handle)
@@ -343,10 +352,11 @@
             raise OSError(f"{written} of {len(data)} bytes written")
 
     def _append_or_log(self, words: list) -> None:
-        """Appends a record of something that has already happened; a write error is only logged."""
+        """Appends a record of something that has already happened; a write error is made up for later."""
         try:
             self._append(words)
         except OSError as problem:
+            self._records_lost = True
             log_event(log, "not noted", logging.ERROR, what=words[0], doc=words[1], problem=problem)
 
     def _snapshot_records(self, entry: LedgerEntry) -> list[list]:
@@ -382,6 +392,7 @@
         self._handle, self._file_bytes = handle, len(data)
         self._adopted = dict.fromkeys(self._adopted, True)
         self._unsaved_recoveries.clear()
+        self._records_lost = False
         return True
 
     # Recovery at the start
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -218,6 +218,7 @@
         self._loop.call_later(
             LOCK_CHECK_S * (HOLDER_CHECK_FACTOR if self._holds_lock else 1), self._check_lock
         )
+        self._ledger.save_lost_records()
         if self._holds_lock and (found := self._ledger.adopt_standby()):
             self._recover({owed.id: owed for owed in found})
             self._schedule_turn()
@@ -699,6 +700,7 @@
         if busy and elapsed_s < FINISH_CALLS_S:
             self._loop.call_later(0.05, self._check_closed)
             return
+        self._ledger.save_lost_records()
         log_event(
             log,
             "closed",
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -229,3 +229,18 @@
     monkeypatch.setattr(module.os, "write", write)
     assert [entry.id for entry in holder.adopt_standby()] == ["new"]
     assert [*Ledger(Folder(str(tmp_path)), 3_000_000).entries] == ["new"]
+
+
+def test_a_notice_that_a_failing_folder_refused_is_written_once_the_folder_works(tmp_path, monkeypatch):
+    ledger = Ledger(Folder(str(tmp_path)), 3_000_000)
+    entry = take(ledger, body=b"")
+
+    def failing_write(handle, data):
+        raise OSError(5, "Input/output error")
+
+    with monkeypatch.context() as failing:
+        failing.setattr(module.os, "write", failing_write)
+        ledger.record_notice(entry, "dead", 0.0)
+        ledger.save_lost_records()  # the folder still fails
+    ledger.save_lost_records()
+    assert Ledger(Folder(str(tmp_path)), 3_000_000).entries["d"].notice == ("dead", 0.0)
