Bytes found on one idle connection no longer break the turn that takes another

What callers would see: documents accepted and never answered; calls, answers and records of a turn that were not carried out.

Cause: Calls._take_idle goes over a copy of the pool.

Change: connections that left the pool meanwhile are passed over.

--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -393,6 +393,8 @@
         now = self._clock()
         unsettled = None
         for connection in [each for each in reversed(self._idle) if each.endpoint == endpoint]:
+            if connection not in self._idle:  # closed with one before it, whose endpoint is not trusted now
+                continue
             if not has_settled(now, connection.answered_at):
                 unsettled = connection
                 continue
@@ -400,7 +402,7 @@
             if not connection.stale():
                 return connection
             connection.close_stale()
-        if unsettled is not None:
+        if unsettled in self._idle:
             self.discard(unsettled, CloseReason.NOT_SETTLED)
         return None
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -231,6 +231,15 @@
     assert not pool._answered("s-1")._link.closed
 
 
+def test_unread_bytes_on_one_of_several_idle_connections_spoil_no_other_call():
+    pool = Pool("s-1", "s-1", "s-2")
+    pool.now = SETTLE_MS
+    pool.connections[1]._link.waiting = 7  # the newest of its endpoint, which is looked at first
+    assert pool.take("s-1") is None
+    assert [each._link.closed for each in pool.connections] == [True, True, False]
+    assert pool.take("s-2") is pool.connections[2]
+
+
 def test_bytes_that_answer_no_call_from_two_endpoints_end_all_reuse():
     pool = Pool("s-1", "s-2", "s-3")
     pool.connections[0].received(memoryview(ANSWER))
