--- a/birchstack/emulator/rig/real.py
+++ b/birchstack/emulator/rig/real.py
@@ -51,8 +51,9 @@
         beat_ms: float = 500.0,
         also: dict[str, list[str]] | None = None,
         rules: dict | None = None,
+        clients: type[Clients] = Clients,
     ) -> None:
-        """rules: settings under `rules` that replace those of site.SETTINGS."""
+        """rules: settings under `rules` that replace those of site.SETTINGS. clients: how documents come."""
         self.folder = folder
         self.seed = seed
         self._fleet = fleet
@@ -66,6 +67,7 @@
         self._beat_ms = beat_ms
         self._keeper_options = keeper or {}
         self._rules = rules or {}
+        self._clients = clients
         self._further_processes = also or {}  # by sender: further processes of it that will be added
         self.links: dict[tuple[str, str], Link] = {}
         self.processes: dict[str, Process] = {}
@@ -86,7 +88,7 @@
             service.begin([site.entry(uid, destination) for uid, destination in self.uids.items()])
             self.lists["list" if not index else f"list{index + 1}"] = service
         self.list = self.lists["list"]
-        self.clients = Clients(self.stage, lambda sender: self.link("clients", sender).where)
+        self.clients = self._clients(self.stage, lambda sender: self.link("clients", sender).where)
         try:
             await asyncio.sleep(0)
             for name in self.senders:
