--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -236,7 +236,7 @@
         """Applies a list or delta; returns False and leaves the list as it was if it is malformed.
 
         The versions of one watch only grow: an older one is a copy of what was applied before, and would undo
-        what came since. The next request tells which version is held.
+        what came since. The next request asks for the whole list, in case the agent did go back.
         """
         read = self._read(text)
         if read is None:
@@ -244,6 +244,7 @@
         message, listed, rev = read
         if rev < self._version_of_watch:
             log_event(log, "older list in a watch", logging.WARNING, rev=rev, held=self._version_of_watch)
+            self._version = 0
             return False
         self._version_of_watch = rev
         if message.get("all"):
