With a fleet file its policy goes on deciding on whole lists that go back within a watch

Cause: the rule that versions of a watch only grow also turned away whole lists that an operator's setting (list.back: take or hold) decides on and records; test_an_older_or_forked_list_is_recorded_and_follows_the_policy failed on both policies.

Change: where the sender keeps an audit log, whole lists go to it as before; older changes, and without a fleet file older whole lists, end the watch and ask for the whole list.

--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -73,12 +73,15 @@
         kinds: tuple[str, ...],
         on_list: Callable,
         accepts: Callable[[dict, str], bool] = lambda message, source: True,
+        may_go_back: bool = False,
     ) -> None:
+        """may_go_back: accepts() decides on whole lists that are older than one before in the same watch."""
         self._loop = loop
         self._address = agent
         self._kinds = kinds
         self._on_list = on_list
         self._accepts = accepts
+        self._may_go_back = may_go_back
         self._version = 0
         self._version_of_watch = 0  # the last version that the current request delivered
         self._heard_at = loop.time()
@@ -242,7 +245,7 @@
         if read is None:
             return False
         message, listed, rev = read
-        if rev < self._version_of_watch:
+        if rev < self._version_of_watch and not (message.get("all") and self._may_go_back):
             log_event(log, "older list in a watch", logging.WARNING, rev=rev, held=self._version_of_watch)
             self._version = 0
             return False
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -85,7 +85,14 @@
         self._client_server = ClientServer(
             loop, types, shares.clients, self._list.is_known, self._on_document
         )
-        self._watch = Watch(loop, config.discovery, config.kinds, self._on_list, self._may_apply_list)
+        self._watch = Watch(
+            loop,
+            config.discovery,
+            config.kinds,
+            self._on_list,
+            self._may_apply_list,
+            may_go_back=audit is not None,
+        )
         self._notices = Notices(loop, config.discovery, self._on_acknowledged)
         self._events: list[tuple] = []  # events of this pass, for the next turn
         self._pending: dict[str, ClientRequest] = {}  # documents submitted during this turn, not answered yet
