--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,12 +24,12 @@
     run,
 )
 
-ORDERS = 60  # basket orders of the usual clients: a clump, as many as the partner takes in 3.5 s
+ORDERS = 90  # basket orders of the usual clients in line for one partner: what it takes in 4 to 5 s
 MARKED = 4  # the last of them, whose ids the bad clients use
 EXPIRY_MS = 12000
 WORK_S = (0.19, 0.33)  # of one call: the site's figures for a partner of usual pace
 BAD_CLIENTS = 20  # each sends again as soon as it is turned away
-BAD_REPEATS = 220  # of each: hundreds
+BAD_REPEATS = 235  # of each: hundreds
 BAD_LEFT_MS = 50  # too little time left for a call, so that each is turned away
 LOST_AFTER_S = 0.55  # a message is lost this long after its time is up: half a second and the slack of 50 ms
 SETTINGS = {
@@ -40,7 +40,7 @@
     "limits": {
         "connIdleMs": 10000,
         "dialTimeoutMs": 1000,
-        "maxOpen": 100,
+        "maxOpen": 130,
         "maxRetryAfterMs": 3000,
         "retryAfter": True,
         "sendCap": 12,
