Review case 3: the keys rest after the upgrade, so that the lost change is seen

Cause: as before (standby files are replayed before the holder's own; the old process sends later documents of a key whose earlier one lies at the waiting process). Added: six upgrades with twenty keys each that change around the upgrade and then no more; the script also prints the keys whose state at the partner stays the older change.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,8 +24,10 @@
     run,
 )
 
-UPGRADES = 4
-KEYS = 20  # employees whose shifts change often meanwhile
+UPGRADES = 6
+KEYS = 20  # employees whose shifts change often around each upgrade; then they change no more
+AHEAD_S = 2.0  # the changes begin this long before the upgrade
+BEHIND_S = 0.8  # and end this long after SIGTERM
 KEY_GAP_S = (0.44, 1.0)  # between two documents of one key: the site's 0.44 to 1.7
 CLUMP = 40  # documents of other keys, for one destination: about what it takes in 3 s
 ASKED_EVERY_S = 0.5  # how often the platform asks the new process whether it is ready
@@ -70,6 +72,22 @@
 }
 
 
+def stale(clients: Clients, calls: list[Call], notices: dict[str, float]) -> list[str]:
+    """Keys that end at the partner with another change than the last one that was taken on."""
+    last: dict[str, tuple[float, str]] = {}
+    for call in calls:
+        key = clients.handed[call.doc].key
+        if call.delivered_at is not None:
+            last[key] = max(last.get(key, (0.0, "")), (call.delivered_at, call.doc))
+    found = []
+    for key, (at, doc) in last.items():
+        mine = [each for each in clients.handed.values() if each.key == key and each.taken_at is not None]
+        newest = max(mine, key=lambda each: each.sent_at)
+        if newest.doc != doc and newest.doc not in notices:
+            found.append(f"{key} ends with {doc}, applied at {at:.3f}, not with {newest.doc}")
+    return found
+
+
 async def key_client(clients: Clients, key: str, destination: int, stop: asyncio.Event) -> None:
     """One employee's changes: the next is handed in only after the answer to the one before."""
     number = 0
@@ -132,13 +150,13 @@
     old = process(0)
     starts = [await old.start()]
     await old.ready()
-    stop = asyncio.Event()
-    tasks = [
-        asyncio.create_task(key_client(clients, f"employee-{number}", 1 + number % 3, stop))
-        for number in range(KEYS)
-    ]
-    await asyncio.sleep(4.0)
     for upgrade in range(1, UPGRADES + 1):
+        stop = asyncio.Event()
+        tasks = [
+            asyncio.create_task(key_client(clients, f"employee-{upgrade}.{number}", 1 + number % 3, stop))
+            for number in range(KEYS)
+        ]
+        await asyncio.sleep(AHEAD_S)
         clump = [
             asyncio.create_task(
                 clients.hand_in(f"c{upgrade}.{number}", "shift-change", 1, EXPIRY_MS, f"k{upgrade}.{number}")
@@ -150,17 +168,24 @@
             starts.append(await new.start())
             await new.ready(within_s=6.0, every_s=ASKED_EVERY_S)
             old.signal(signal.SIGTERM)
-            await old.ended(3.7)
+            ended = asyncio.create_task(old.ended(3.7))
+            await asyncio.sleep(BEHIND_S)
+            stop.set()
+            await ended
             old = new
-        await asyncio.gather(*clump)
-        await asyncio.sleep(8.0)
-    stop.set()
-    await asyncio.gather(*tasks)
+        else:
+            await asyncio.sleep(ASKED_EVERY_S + BEHIND_S)
+            stop.set()
+        await asyncio.gather(*clump, *tasks)
+        await asyncio.sleep(6.0)
     await asyncio.sleep(6.0)
     clients.close()
     taken = [each for each in clients.handed.values() if each.taken_at is not None]
     if len(taken) < 100 or len({call.doc for call in calls}) < 0.8 * len(taken):
         raise NotRunError(f"{len(taken)} documents taken on, {len(calls)} calls")
+    for each in stale(clients, calls, platform.notices):
+        record.note("stale at the end", what=each)
+        print(each)
     found = inversions(clients, calls, platform.notices, starts)
     return [
         f"key {later.key}: {earlier.doc} taken at {earlier.taken_at:.3f}, first sent at {earlier_at:.3f}; "
