A sender knows the id of each document until its time is over, not for 4,096 answers

Cause: Node._accept knew an id by `_answers` alone, the last 4,096 answers of any kind, so 4,096 refusals pushed out the id of a document that was still owed. Ledger.add then replaced its entry and its body, while the decisions held two documents under one id. The same bound let an order that had been delivered run again. Two related paths had the same cause: the ids of ended documents were lost with each compaction (restart), and Ledger.adopt_standby knew only those that had ended before its start, so a holder took up from the file of a killed standby what it had delivered itself.

Change: `Ledger.knows` is asked: a document is known while it is held, and after its end until its expiry and one second (`net/ended.py`: by time, never by number). Digests of 8 bytes, written by each compaction in a record `ended`, counted in the space of the folder, forgotten once their time has passed; an older build skips the record. `_answers` becomes `_refusals`: a refusal that is forgotten is harmless. An adopted duplicate's body file is removed.

Why it works: nothing that a client sends can shorten how long an id is known; each way to take a document on (client, restart, file of a standby, backlog) asks the same question.

--- a/benchmarks/capacity/turn.py
+++ b/benchmarks/capacity/turn.py
@@ -258,7 +258,7 @@
         }
         self.node = Node(decode(raw, {}), self.loop, InMemory())
         self.node._list.entries, self.node._ledger.entries = work.dictionary(), work.dictionary()
-        self.node._list._destinations, self.node._answers = work.dictionary(), work.dictionary()
+        self.node._list._destinations, self.node._refusals = work.dictionary(), work.dictionary()
         self.spare = listed
         self.node._on_list(our.WHOLE, [(endpoint(each), ("127.0.0.1", 3)) for each in range(1, listed + 1)])
         self.node._turn()
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -17,6 +17,8 @@
 
 from birchstack.interface import Recovery
 from birchstack.net import recoveries
+from birchstack.net.ended import RECORD_KIND as ENDED
+from birchstack.net.ended import EndedDocuments
 from birchstack.net.log import log_event
 from birchstack.net.machine import Folder
 from birchstack.net.recoveries import RecoveryRecords
@@ -87,6 +89,7 @@
         self._limit = limit - 4 * 4096  # the folder's own directory blocks may count
         self.entries: dict[str, LedgerEntry] = {}
         self.ended: dict[str, None] = {}  # finished before the start, but still recorded in the file
+        self.remembered = EndedDocuments()  # by time, whether or not the file still has their records
         self.waits: dict[str, float] = {}  # by endpoint, wall-clock time until which it asked to wait
         self.recoveries = RecoveryRecords(self._limit)
         self._unsaved_recoveries: dict[str, list] = {}  # by endpoint, records that did not fit on a full disk
@@ -111,6 +114,7 @@
         records = (
             RECORD_RESERVE_BYTES * (len(self.entries) + len(sizes))  # for documents
             + recoveries.RECORD_BYTES * len(self.recoveries)  # for endpoints that are recovering
+            + self.remembered.record_bytes
         )
         bodies = self._body_bytes + sum(map(round_up_to_blocks, sizes))
         # The current file and the one that a compaction writes beside it
@@ -207,10 +211,15 @@
         """Records that a document needs nothing more, and removes it."""
         if self.entries.pop(entry.id, None) is None:
             return
+        self.remembered.add(entry.id, entry.expiry)
         self._append_or_log(["done", entry.id])
         self._release_body(entry)
         self._maintain()
 
+    def knows(self, doc_id: str) -> bool:
+        """Returns whether a document with this id was accepted: it is held, or ended not long ago."""
+        return doc_id in self.entries or doc_id in self.remembered
+
     def save_lost_records(self) -> None:
         """Writes the current state anew if an earlier write failed; to be called from time to time.
 
@@ -240,17 +249,16 @@
         ]:
             try:
                 replay = LedgerReplay(self._folder.read(name))
-                fresh = [
-                    entry
-                    for each, entry in replay.entries.items()
-                    if each not in self.entries and each not in self.ended
-                ]
+                fresh = [entry for entry in replay.entries.values() if not self.knows(entry.id)]
                 records = [words for entry in fresh for words in self._snapshot_records(entry)]
                 self._append(*records, ["took", name])
             except OSError as problem:
                 log_event(log, "not taken up", logging.ERROR, file=name, problem=problem)
                 continue
             self._adopted[name] = True
+            for entry in replay.entries.values():
+                if self.knows(entry.id):
+                    self._remove_body_file(entry)
             for entry in fresh:
                 entry.recovered = True
                 self._load_body(entry)
@@ -290,7 +298,11 @@
 
     def _maintain(self) -> None:
         """Compacts the file once it is large and mostly obsolete; otherwise retries unsaved recoveries."""
-        live_bytes = RECORD_RESERVE_BYTES * len(self.entries) + recoveries.RECORD_BYTES * len(self.recoveries)
+        live_bytes = (
+            RECORD_RESERVE_BYTES * len(self.entries)
+            + recoveries.RECORD_BYTES * len(self.recoveries)
+            + self.remembered.record_bytes
+        )
         if self._file_bytes > max(COMPACT_MIN_BYTES, 2 * live_bytes):
             self.compact()
         elif self._unsaved_recoveries:
@@ -371,7 +383,8 @@
         """Rewrites the file with only the current state; the old file is valid until the new one is renamed.
 
         Returns whether it succeeded."""
-        records = [words for entry in self.entries.values() for words in self._snapshot_records(entry)]
+        records = self.remembered.records()
+        records += [words for entry in self.entries.values() for words in self._snapshot_records(entry)]
         records += [["wait", name, until] for name, until in self.waits.items()]
         records += [["took", name] for name in self._adopted]
         records += self.recoveries.records()
@@ -409,12 +422,8 @@
         self._adopted = {name: name in adopted for name, ended in standby.items() if ended}
         texts = [self._folder.read(name) for name, recorded in self._adopted.items() if not recorded]
         past = LedgerReplay(b"\n".join([*texts, own]), self.recoveries)
-        self.entries, self.ended, self.waits, self._next_body = (
-            past.entries,
-            past.ended,
-            past.waits,
-            past.next_body,
-        )
+        self.entries, self.ended, self.remembered = past.entries, past.ended, past.remembered
+        self.waits, self._next_body = past.waits, past.next_body
         for entry in self.entries.values():
             entry.recovered = True
             if entry.in_flight:
@@ -468,6 +477,7 @@
         self._recoveries = RecoveryRecords(0) if recovery_records is None else recovery_records
         self.entries: dict[str, LedgerEntry] = {}
         self.ended: dict[str, None] = {}
+        self.remembered = EndedDocuments()
         self.waits: dict[str, float] = {}
         self.adopted_files: set[str] = set()  # standby files whose documents have been adopted
         self.next_body = 0  # one above the highest body number
@@ -482,10 +492,15 @@
                 self._recoveries.replay_damaged(line)
 
     def _replay(self, what: str, doc_id: str, *words) -> None:
-        """Applies one record; for some kinds, doc_id is the name of an endpoint or a file."""
+        """Applies one record; for some kinds, doc_id is an endpoint, a file or a time."""
         if what == "wait":  # doc_id is an endpoint
             self.waits[doc_id] = max(float(words[0]), self.waits.pop(doc_id, 0.0))
             return
+        if what == ENDED:  # doc_id is the time until which documents are remembered
+            self.remembered.replay(doc_id, *words)
+            for each in [each for each in self.entries if each in self.remembered]:
+                del self.entries[each]  # a standby process accepted a document that had ended
+            return
         if what in recoveries.STAGES:  # doc_id is an endpoint
             self._recoveries.replay(what, doc_id, *words)
             return
@@ -516,3 +531,4 @@
         elif what == "done":
             del self.entries[doc_id]
             self.ended[doc_id] = None
+            self.remembered.add(doc_id, entry.expiry)
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -39,7 +39,7 @@
 OVERDUE_MS = 100.0  # a document that has not ended this long after its expiry is overdue
 EXPIRY_MARGIN_MS = 100.0  # an answer this close to the expiry may count as too late: clocks and sockets lag
 STATE_LOG_INTERVAL_S = 60.0
-MAX_REMEMBERED_ANSWERS = 4096  # answers kept for document ids that are submitted again
+MAX_REMEMBERED_REFUSALS = 4096  # a refused document may safely be accepted when it is submitted again
 SIGNAL_CHECK_S = 0.5  # interval between checks whether signals of other senders still arrive
 LOCK_NAME = "lock"  # held by the process that sends from the folder
 LOCK_CHECK_S = 0.05  # interval between attempts of a waiting process to take the lock
@@ -98,7 +98,7 @@
         self._pending: dict[str, ClientRequest] = {}  # documents submitted during this turn, not answered yet
         self._starting: dict[str, Call] = {}  # calls to start at the end of this turn
         self._connected: list[Call] = []  # calls whose connection is established, to write at the turn's end
-        self._answers: dict[str, tuple[str, float]] = {}  # by document id, for ids that are submitted again
+        self._refusals: dict[str, tuple[str, float]] = {}  # by document id, for ids that are submitted again
         self._by_hand = AdministrativeStates(folder, self._lasting.ms)
         self._recollection = self._load_recollection() if self._holds_lock else None
         self._tally = Tally()
@@ -162,7 +162,6 @@
         """Submits documents found in the folder, by id, to the decision logic; notices are sent again."""
         now = self.clock()
         wall = self._lasting.ms()
-        self._remember({doc_id: (ACCEPTED, 0.0) for doc_id in (*self._ledger.ended, *found)})
         for owed in [*found.values()]:
             owed.deadline = now + owed.expiry - wall
             if owed.notice:
@@ -198,7 +197,6 @@
         """Submits a document accepted earlier to the decision logic, with its past transmissions."""
         wall = self._lasting.ms()
         owed.deadline = now + owed.expiry - wall
-        self._remember({owed.id: (ACCEPTED, 0.0)})
         if owed.type not in self._client_server.types:
             self._end_with_notice(owed.id, "dead", 0.0, "its type is in the settings no more")
             return
@@ -226,6 +224,7 @@
             LOCK_CHECK_S * (HOLDER_CHECK_FACTOR if self._holds_lock else 1), self._check_lock
         )
         self._ledger.save_lost_records()
+        self._ledger.remembered.forget(self._lasting.ms())
         if self._holds_lock and (found := self._ledger.adopt_standby()):
             self._recover({owed.id: owed for owed in found})
             self._schedule_turn()
@@ -371,9 +370,12 @@
             request.reply(UNAVAILABLE)  # the client does not read it, and the document was not accepted
         elif request.id in self._pending:
             self._pending[request.id].duplicates.append(request)
-        elif request.id in self._answers or self._overflow and self._overflow.holds(request.id):
+        elif self._ledger.knows(request.id) or self._overflow and self._overflow.holds(request.id):
             log_debug(log, "submitted again", doc=request.id)
-            request.reply(*self._answers.get(request.id, (ACCEPTED, 0.0)))
+            request.reply(ACCEPTED)
+        elif request.id in self._refusals:
+            log_debug(log, "submitted again", doc=request.id, refused=True)
+            request.reply(*self._refusals[request.id])
         elif self._closing_at is not None and not self._handing_over:
             self._answer(request, UNAVAILABLE, advice_ms)
         elif self._overflow and (verdict := self._overflow.admit(now, request, age, advice_ms)):
@@ -405,14 +407,14 @@
     def _answer(self, request: ClientRequest, verdict: str, wait_ms: float = 0.0) -> None:
         if verdict != ACCEPTED:
             self._tally.count_undelivered(request.id, request.type, verdict == ABANDONED)
-        self._remember({request.id: (verdict, wait_ms)})
+            self._remember_refusal(request.id, verdict, wait_ms)
         log_debug(log, "answered", doc=request.id, verdict=verdict, wait_ms=wait_ms)
         request.reply(verdict, wait_ms, close=self._client_server.ending)
 
-    def _remember(self, answers: dict[str, tuple[str, float]]) -> None:
-        self._answers.update(answers)
-        while len(self._answers) > MAX_REMEMBERED_ANSWERS:
-            del self._answers[next(iter(self._answers))]
+    def _remember_refusal(self, doc_id: str, verdict: str, wait_ms: float) -> None:
+        self._refusals[doc_id] = verdict, wait_ms
+        if len(self._refusals) > MAX_REMEMBERED_REFUSALS:
+            del self._refusals[next(iter(self._refusals))]
 
     def _commit(self, now: float) -> None:
         """Carries out a turn's decisions: writes the ledger, then answers clients, then makes the calls."""
