Both processes of an upgrade are one sender: the order of a key and ids hold across them

Cause, from the case's record and the ledger files: a process that waits for the folder accepts documents which only wait in its own file. The holder knows nothing of them and goes on sending later documents of the key; and at the takeover Ledger._recover replayed the files of standby processes before the holder's own, so whatever the new process had accepted, whenever, went first.

Change: the holder follows the files of waiting processes (`net/standby.py`) and takes their documents over as its own, in the order of their acceptance: every 50 ms, and always before it accepts a document itself, so a document whose predecessor was answered anywhere comes after it. A waiting process follows the holder's file: it knows its ids, drops what was taken over, and ends only what nobody took over close to its expiry (the holder hangs or closes). A byte in the file `lock` tells the holder of a new waiting process at once. At a takeover the holder's file comes first, then what is new in the others by time of acceptance. Where neither can know (while handing over, or while a file cannot be read) a keyed document of an ordered type is refused with 503 and a time. With a backlog, what is taken over goes behind the documents of its destination on disk, and an id there is known.

--- a/birchstack/net/ended.py
+++ b/birchstack/net/ended.py
@@ -48,6 +48,16 @@
         for digest in digests:
             self._insert(digest, float(until))
 
+    def merge(self, other: EndedDocuments) -> None:
+        """Remembers what another one remembers."""
+        for _, until, digests in other.records():
+            self.replay(until, digests)
+
+    def record_of(self, doc_id: str) -> list:
+        """Returns the fields of a record that restores one remembered document."""
+        digest = _digest(doc_id)
+        return [RECORD_KIND, self._until[digest], [digest]]
+
     def forget(self, now: float) -> None:
         """Forgets the documents whose time has passed."""
         for until in [each for each in self._periods if each <= now]:
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -9,24 +9,29 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import logging
-import zlib
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from birchstack.interface import Recovery
 from birchstack.net import recoveries
-from birchstack.net.ended import RECORD_KIND as ENDED
 from birchstack.net.ended import EndedDocuments
+from birchstack.net.ledger_records import (
+    STANDBY_FIRST_BODY,
+    LedgerEntry,
+    LedgerReplay,
+    accepted_records,
+    encode,
+    snapshot_records,
+)
 from birchstack.net.log import log_event
 from birchstack.net.machine import Folder
 from birchstack.net.recoveries import RecoveryRecords
+from birchstack.net.standby import LedgerFollower
 
 FILE = "ledger"
 STANDBY_PREFIX = "ledger-next-"  # file of a process that waits while another one holds the state folder
 LOCK_SUFFIX = ".lock"  # lock file that shows that the standby process is alive
-STANDBY_FIRST_BODY = 1 << 32  # body numbers of standby processes start here, apart from the holder's
 BLOCK_BYTES = 512
 RECORD_RESERVE_BYTES = 512  # space reserved per document for records that are still to be written
 COMPACT_MIN_BYTES = 131072  # smaller files are not compacted
@@ -34,36 +39,6 @@
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class LedgerEntry:
-    """An accepted document with its transmission history; times are wall-clock milliseconds."""
-
-    id: str
-    type: str
-    destination: int
-    key: str | None
-    expiry: float
-    body_number: int
-    size: int
-    repeat_key: str | None = None  # sent as Idempotency-Key, so that endpoints recognise a repeat
-    body: bytes = b""
-    recovered: bool = False  # recovered at start from an earlier process
-    deadline: float = 0.0  # expiry on the sender's own clock; not stored
-    sent: int = 0  # transmissions made
-    failed: int = 0  # of those, failures other than refusals
-    in_flight: tuple[str, float] | None = None  # zone and time of the transmission in flight
-    in_doubt: list[tuple[str, float]] = field(default_factory=list)  # those that may have been executed
-    notice: tuple[str, float] | None = None  # result and wait to report, until the platform acknowledges them
-
-    def apply_outcome(self, doubt: int, failed: int) -> None:
-        """Applies the outcome of the latest transmission."""
-        if self.in_flight is None:
-            self.sent += 1  # never written to the connection, but it counts as a transmission
-        elif doubt:
-            self.in_doubt.append(self.in_flight)
-        self.failed, self.in_flight = self.failed + bool(failed), None
-
-
 def round_up_to_blocks(size: int) -> int:
     """Rounds a size in bytes up to whole disk blocks."""
     return -(-size // BLOCK_BYTES) * BLOCK_BYTES
@@ -72,20 +47,32 @@
 class Ledger:
     """Current state in memory, in order of acceptance; each change is on disk before its method returns."""
 
-    def __init__(self, folder: Folder, limit: int, standby_name: str = "") -> None:
+    def __init__(
+        self,
+        folder: Folder,
+        limit: int,
+        standby_name: str = "",
+        divert: Callable[[LedgerEntry], bool] = lambda entry: False,
+    ) -> None:
         """Opens the ledger in `folder` with at most `limit` bytes.
 
         standby_name: set on a standby process, while another process holds the state folder and sends. It is
-        a name in hexadecimal digits that no other process has ever used.
-
-        A standby process writes its own file and bodies, in a quarter of the space, and reads nothing that
-        belongs to the holder. The holder adopts the files of standby processes that have ended: at its start,
-        and by adopt_standby() while it runs. This prevents two processes from sending the same documents or
-        writing one file, and prevents the loss of documents of a standby process that ends before the holder.
-        Drawback: the quarter is not reserved, so a holder that fills the folder leaves no space for a
+        a name in hexadecimal digits that no other process has ever used. divert(entry): returns True if a
+        document of a standby process is held elsewhere, or was put there now; raises OSError if it could not.
+
+        A standby process writes its own file and bodies, in a quarter of the space. The holder takes its
+        documents over: those of a live standby process by claim_standby(), those of one that has ended by
+        adopt_standby() or at its own start. From then on they are the holder's, in their order of acceptance,
+        and the standby process drops them (drop_claimed()). This prevents two processes from sending the same
+        documents or writing one file, and the loss of documents of a standby process that ends before the
+        holder. Drawback: the quarter is not reserved, so a holder that fills the folder leaves no space for a
         standby process.
         """
         self._folder = folder
+        self._divert = divert
+        self._followers: dict[str, LedgerFollower] = {}  # by file, of live standby processes
+        self._unclaimed: dict[str, LedgerEntry] = {}  # accepted by them, not taken over yet
+        self._holder: LedgerFollower | None = None  # on a standby process
         self._limit = limit - 4 * 4096  # the folder's own directory blocks may count
         self.entries: dict[str, LedgerEntry] = {}
         self.ended: dict[str, None] = {}  # finished before the start, but still recorded in the file
@@ -104,6 +91,7 @@
             self._next_body = STANDBY_FIRST_BODY + int(standby_name, 16)
             folder.lock(self._name + LOCK_SUFFIX)  # before the file exists, which others could adopt
             self._handle = folder.open(self._name, fresh=True)
+            self._holder = LedgerFollower(folder, FILE)
         else:
             self._recover()
 
@@ -132,18 +120,20 @@
         expiry: float,
         body: bytes,
         repeat_key: str | None = None,
+        accepted_at: float = 0.0,
     ) -> LedgerEntry:
-        """Stores a newly accepted document.
+        """Stores a newly accepted document; accepted_at: the time, on a standby process.
 
         Raises OSError if it could not be stored; it is not accepted then."""
         entry = LedgerEntry(
             doc_id, kind, destination, key, expiry, self._next_body, len(body), repeat_key, body
         )
+        entry.accepted_at = accepted_at
         self._next_body += 1
         try:
             if body:
                 self._folder.write(self._body_name(entry), body)
-            self._append(self._take_record(entry))
+            self._append(*accepted_records(entry))
         except OSError:
             self._remove_body_file(entry)
             raise
@@ -217,7 +207,13 @@
         self._maintain()
 
     def knows(self, doc_id: str) -> bool:
-        """Returns whether a document with this id was accepted: it is held, or ended not long ago."""
+        """Returns whether this sender accepted a document with this id, in this process or another.
+
+        It is held, or ended not long ago."""
+        others = (self._holder,) if self._holder else self._followers.values()
+        return self._knows_itself(doc_id) or any(other.replay.knows(doc_id) for other in others)
+
+    def _knows_itself(self, doc_id: str) -> bool:
         return doc_id in self.entries or doc_id in self.remembered
 
     def save_lost_records(self) -> None:
@@ -229,7 +225,9 @@
             self.compact()
 
     def close(self) -> None:
-        """Closes the file, and releases the standby lock if there is one."""
+        """Closes the files, and releases the standby lock if there is one."""
+        for follower in (*self._followers.values(), *((self._holder,) if self._holder else ())):
+            follower.close()
         self._folder.close(self._handle)
         if self._name != FILE:
             self._folder.unlock(self._name + LOCK_SUFFIX)
@@ -238,35 +236,139 @@
         """Returns whether a standby process waits for this one to end."""
         return any(not ended for ended in self._standby_files().values())
 
+    def find_standby(self) -> None:
+        """Looks for standby processes, to be followed from now on; raises OSError if that failed."""
+        self._follow(self._list_standby_files())
+
+    def _follow(self, names: Iterable[str]) -> None:
+        wanted = [name for name in names if name not in self._adopted]
+        for name in wanted:
+            if name not in self._followers:
+                self._followers[name] = LedgerFollower(self._folder, name)
+        for name in [each for each in self._followers if each not in wanted]:
+            self._followers.pop(name).close()
+
+    @property
+    def follows_standby(self) -> bool:
+        """Whether there are standby processes, as far as find_standby() has found."""
+        return bool(self._followers)
+
+    def follow_standby(self) -> None:
+        """Reads what standby processes have written; raises OSError if that failed."""
+        for follower in self._followers.values():
+            follower.poll()
+            self._unclaimed.update((entry.id, entry) for entry in follower.pop_accepted())
+
+    def claim_standby(self) -> list[LedgerEntry]:
+        """Takes over what standby processes have accepted, and returns the documents in that order.
+
+        Raises OSError if some could not be read or recorded; they are claimed by a later call."""
+        self.follow_standby()
+        if not self._unclaimed:
+            return []
+        claimed = self._take_over(
+            [replace(entry) for entry in self._unclaimed.values() if entry.notice is None]
+        )
+        self._unclaimed.clear()
+        return claimed
+
+    def drop_claimed(self) -> list[LedgerEntry]:
+        """On a standby process: drops the documents that the holder has taken over, and returns them.
+
+        Raises OSError if the holder's file cannot be read."""
+        if not self._holder.poll():
+            return []
+        replay = self._holder.replay
+        claimed = [entry for entry in self.entries.values() if replay.knows(entry.id)]
+        for entry in claimed:
+            del self.entries[entry.id]
+            self._body_bytes -= round_up_to_blocks(entry.size)
+            held = replay.entries.get(entry.id)
+            if held is None or held.body_number != entry.body_number:  # it needs no body, or has its own
+                self._remove_body_file(entry)
+        return claimed
+
     def adopt_standby(self) -> list[LedgerEntry]:
         """Adopts the documents of standby processes that ended before this one.
 
         Returns the documents that are new here. A file that could not be adopted whole is retried by the next
         call."""
-        found = []
-        for name in [
-            name for name, ended in self._standby_files().items() if ended and name not in self._adopted
-        ]:
+        try:
+            files = self._list_standby_files()
+        except OSError:
+            return []
+        self._follow(files)
+        replays = {}
+        for name in [name for name, ended in files.items() if ended and name not in self._adopted]:
             try:
-                replay = LedgerReplay(self._folder.read(name))
-                fresh = [entry for entry in replay.entries.values() if not self.knows(entry.id)]
-                records = [words for entry in fresh for words in self._snapshot_records(entry)]
-                self._append(*records, ["took", name])
+                replays[name] = LedgerReplay(self._folder.read(name))
             except OSError as problem:
                 log_event(log, "not taken up", logging.ERROR, file=name, problem=problem)
-                continue
-            self._adopted[name] = True
-            for entry in replay.entries.values():
-                if self.knows(entry.id):
-                    self._remove_body_file(entry)
-            for entry in fresh:
-                entry.recovered = True
-                self._load_body(entry)
-                self.entries[entry.id] = entry
-            found += fresh
-            log_event(log, "taken up", file=name, owed=len(fresh))
+        fresh = self._adopt(replays) if replays else []
         self._remove_adopted_files()
-        return found
+        return fresh
+
+    def _adopt(self, replays: dict[str, LedgerReplay]) -> list[LedgerEntry]:
+        entries = [entry for replay in replays.values() for entry in replay.entries.values()]
+        try:
+            fresh = self._take_over(entries, *(["took", name] for name in replays))
+        except OSError as problem:
+            log_event(log, "not taken up", logging.ERROR, file=",".join(replays), problem=problem)
+            return []
+        for name, replay in replays.items():
+            self._adopted[name] = True
+            if follower := self._followers.pop(name, None):
+                follower.close()
+            self.remembered.merge(replay.remembered)
+        for entry in entries:
+            self._unclaimed.pop(entry.id, None)
+        for entry in fresh:
+            entry.recovered = True
+        log_event(log, "taken up", file=",".join(replays), owed=len(fresh))
+        return fresh
+
+    def _take_over(self, entries: list[LedgerEntry], *records: list) -> list[LedgerEntry]:
+        """Records documents of standby processes as this process's own, then some other records.
+
+        Returns those that are new here, in the order of their acceptance. Raises OSError if that failed."""
+        fresh, diverted = self._select_fresh(entries)
+        written = [words for entry in fresh for words in snapshot_records(entry)]
+        for entry in diverted:
+            self.remembered.add(entry.id, entry.expiry)
+            written.append(self.remembered.record_of(entry.id))
+        if written or records:
+            self._append(*written, *records)
+        for entry in fresh:
+            self._load_body(entry)
+            self.entries[entry.id] = entry
+        for entry in entries:  # held here with another body, or elsewhere
+            held = self.entries.get(entry.id)
+            if held is None or held.body_number != entry.body_number:
+                self._remove_body_file(entry)
+        return fresh
+
+    def _select_fresh(self, entries: list[LedgerEntry]) -> tuple[list[LedgerEntry], list[LedgerEntry]]:
+        """Returns the documents that are new here, in the order of acceptance, and those held elsewhere."""
+        fresh: list[LedgerEntry] = []
+        diverted: list[LedgerEntry] = []
+        for entry in sorted(entries, key=lambda entry: entry.accepted_at):
+            if self._knows_itself(entry.id):
+                continue
+            try:
+                elsewhere = entry.notice is None and self._divert(self._with_body(entry))
+            except OSError:
+                if self._handle >= 0:
+                    raise
+                elsewhere = False  # at the start there is no later try
+            (diverted if elsewhere else fresh).append(entry)
+        return fresh, diverted
+
+    def _with_body(self, entry: LedgerEntry) -> LedgerEntry:
+        """Returns the document with its body; raises OSError if that exists and cannot be read."""
+        if entry.size:
+            with contextlib.suppress(FileNotFoundError):
+                entry.body = self._folder.read(self._body_name(entry))
+        return entry
 
     def _standby_files(self) -> dict[str, bool]:
         """Returns the files of standby processes, and whether the process of each has ended.
@@ -274,16 +376,19 @@
         A file without a lock file is from a version that had none; its process counts as ended only at this
         process's start, when the state folder is no longer held."""
         with contextlib.suppress(OSError):
-            names = self._folder.names()
-            return {
-                name: self._folder.lock(name + LOCK_SUFFIX)
-                for name in sorted(names)
-                if name.startswith(STANDBY_PREFIX)
-                and "." not in name
-                and (self._handle < 0 or name + LOCK_SUFFIX in names)
-            }
+            return self._list_standby_files()
         return {}
 
+    def _list_standby_files(self) -> dict[str, bool]:
+        names = self._folder.names()
+        return {
+            name: self._folder.lock(name + LOCK_SUFFIX)
+            for name in sorted(names)
+            if name.startswith(STANDBY_PREFIX)
+            and "." not in name
+            and (self._handle < 0 or name + LOCK_SUFFIX in names)
+        }
+
     def _remove_adopted_files(self) -> None:
         """Removes standby files that were adopted.
 
@@ -334,30 +439,9 @@
         entry.size = 0
         entry.body = b""
 
-    @staticmethod
-    def _encode(words: list) -> bytes:
-        """Encodes one record as a line with its CRC-32."""
-        text = json.dumps(words, separators=(",", ":")).encode()
-        # The newline comes first, so that a torn line ends where the next record begins
-        return b"\n%08x %s" % (zlib.crc32(text), text)
-
-    @staticmethod
-    def _take_record(entry: LedgerEntry) -> list:
-        return [
-            "take",
-            entry.id,
-            entry.type,
-            entry.destination,
-            entry.key,
-            entry.expiry,
-            entry.body_number,
-            entry.size,
-            *([entry.repeat_key] if entry.repeat_key else []),
-        ]
-
     def _append(self, *records: list) -> None:
         """Appends records in one write; raises OSError unless it was written whole."""
-        data = b"".join(map(self._encode, records))
+        data = b"".join(map(encode, records))
         written = self._folder.append(self._handle, data)
         self._file_bytes += written
         if written < len(data):
@@ -371,24 +455,16 @@
             self._records_lost = True
             log_event(log, "not noted", logging.ERROR, what=words[0], doc=words[1], problem=problem)
 
-    def _snapshot_records(self, entry: LedgerEntry) -> list[list]:
-        """Returns the fewest records that reproduce this document's current state."""
-        words = [
-            self._take_record(entry),
-            ["past", entry.id, entry.sent, entry.failed, entry.in_flight, entry.in_doubt],
-        ]
-        return words + ([["notice", entry.id, *entry.notice]] if entry.notice else [])
-
     def compact(self) -> bool:
         """Rewrites the file with only the current state; the old file is valid until the new one is renamed.
 
         Returns whether it succeeded."""
         records = self.remembered.records()
-        records += [words for entry in self.entries.values() for words in self._snapshot_records(entry)]
+        records += [words for entry in self.entries.values() for words in snapshot_records(entry)]
         records += [["wait", name, until] for name, until in self.waits.items()]
         records += [["took", name] for name in self._adopted]
         records += self.recoveries.records()
-        data = b"".join(map(self._encode, records))
+        data = b"".join(map(encode, records))
         handle = -1
         try:
             handle = self._folder.open(self._name + ".new", fresh=True)
@@ -413,7 +489,8 @@
     def _recover(self) -> None:
         """Rebuilds the state from standby files and the own file.
 
-        Standby files are replayed first: records about their documents in the own file were written later."""
+        What standby processes accepted comes after what the own file has, in the order of acceptance: before
+        the holder accepts a document of an ordered type it takes over what they have accepted so far."""
         own = b""
         standby = self._standby_files()
         with contextlib.suppress(FileNotFoundError):
@@ -421,9 +498,17 @@
         adopted = LedgerReplay(own).adopted_files if standby else ()
         self._adopted = {name: name in adopted for name, ended in standby.items() if ended}
         texts = [self._folder.read(name) for name, recorded in self._adopted.items() if not recorded]
-        past = LedgerReplay(b"\n".join([*texts, own]), self.recoveries)
+        others = [LedgerReplay(text, self.recoveries) for text in texts]
+        past = LedgerReplay(own, self.recoveries)
         self.entries, self.ended, self.remembered = past.entries, past.ended, past.remembered
         self.waits, self._next_body = past.waits, past.next_body
+        for other in others:
+            self.remembered.merge(other.remembered)
+        accepted = [entry for other in others for entry in other.entries.values()]
+        fresh, diverted = self._select_fresh(accepted)
+        self.entries.update((entry.id, entry) for entry in fresh)
+        for entry in diverted:
+            self.remembered.add(entry.id, entry.expiry)
         for entry in self.entries.values():
             entry.recovered = True
             if entry.in_flight:
@@ -438,7 +523,7 @@
                 log,
                 "recovered",
                 owed=len(self.entries),
-                torn=past.unreadable,
+                torn=past.unreadable + sum(other.unreadable for other in others),
                 recovering=len(self.recoveries),
             )
 
@@ -448,8 +533,9 @@
             entry.size = 0
         if not entry.size:
             return
-        with contextlib.suppress(OSError):
-            entry.body = self._folder.read(self._body_name(entry))
+        if len(entry.body) != entry.size:
+            with contextlib.suppress(OSError):
+                entry.body = self._folder.read(self._body_name(entry))
         if len(entry.body) == entry.size:
             self._body_bytes += round_up_to_blocks(entry.size)
         else:  # it cannot be sent any more, but the platform still has to be notified
@@ -467,68 +553,3 @@
             if number and name not in wanted and not standby_body or name.endswith(".new"):
                 with contextlib.suppress(OSError):
                     self._folder.unlink(name)
-
-
-class LedgerReplay:
-    """The state that results from replaying a ledger file's records."""
-
-    def __init__(self, text: bytes, recovery_records: RecoveryRecords | None = None) -> None:
-        """Replays `text`; recovery_records receives the recovery records, which are ignored without it."""
-        self._recoveries = RecoveryRecords(0) if recovery_records is None else recovery_records
-        self.entries: dict[str, LedgerEntry] = {}
-        self.ended: dict[str, None] = {}
-        self.remembered = EndedDocuments()
-        self.waits: dict[str, float] = {}
-        self.adopted_files: set[str] = set()  # standby files whose documents have been adopted
-        self.next_body = 0  # one above the highest body number
-        self.unreadable = 0  # lines that cannot be read
-        for line in filter(None, text.split(b"\n")):
-            try:
-                if int(line[:8], 16) != zlib.crc32(line[9:]):
-                    raise ValueError("sum")
-                self._replay(*json.loads(line[9:]))
-            except (ValueError, TypeError, KeyError):
-                self.unreadable += 1  # the last record was cut off by a crash, or the disk is damaged
-                self._recoveries.replay_damaged(line)
-
-    def _replay(self, what: str, doc_id: str, *words) -> None:
-        """Applies one record; for some kinds, doc_id is an endpoint, a file or a time."""
-        if what == "wait":  # doc_id is an endpoint
-            self.waits[doc_id] = max(float(words[0]), self.waits.pop(doc_id, 0.0))
-            return
-        if what == ENDED:  # doc_id is the time until which documents are remembered
-            self.remembered.replay(doc_id, *words)
-            for each in [each for each in self.entries if each in self.remembered]:
-                del self.entries[each]  # a standby process accepted a document that had ended
-            return
-        if what in recoveries.STAGES:  # doc_id is an endpoint
-            self._recoveries.replay(what, doc_id, *words)
-            return
-        if what == "took":  # doc_id is a standby file
-            self.adopted_files.add(doc_id)
-            return
-        if what == "take":
-            self.entries[doc_id] = LedgerEntry(doc_id, *words)
-            self.next_body = max(self.next_body, self.entries[doc_id].body_number + 1)
-            return
-        entry = self.entries[doc_id]
-        if what == "call":
-            if entry.in_flight:  # the outcome of the call before was not recorded
-                entry.in_doubt.append(entry.in_flight)
-            entry.sent, entry.in_flight = entry.sent + 1, (words[0], words[1])
-        elif what == "kept":
-            entry.sent, entry.failed = entry.sent + 1, entry.failed + words[0]
-        elif what == "back":
-            entry.apply_outcome(*words)
-        elif what == "past":
-            entry.sent, entry.failed, out, doubt = words
-            entry.in_flight, entry.in_doubt = (
-                tuple(out) if out else None,
-                [(zone, when) for zone, when in doubt],
-            )
-        elif what == "notice":
-            entry.notice = words[0], words[1]
-        elif what == "done":
-            del self.entries[doc_id]
-            self.ended[doc_id] = None
-            self.remembered.add(doc_id, entry.expiry)
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -23,6 +23,7 @@
 BACKLOG = 1024  # connections that wait in the kernel to be accepted
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # no descriptor or memory left
 ACCEPT_PAUSE_S = 0.1  # no connection is accepted for this time after descriptors ran out
+READ_BYTES = 1 << 20  # read at once from a file of any size
 BOOT_ID_PATH = "/proc/sys/kernel/random/boot_id"
 CLOCK_FILE = "clock"  # file that stores the persistent clock's offset
 
@@ -75,6 +76,22 @@
         finally:
             os.close(handle)
 
+    def open_to_read(self, name: str) -> int:
+        """Opens a file that another process appends to, for read_from(), and returns its handle."""
+        return os.open(self._path_of(name), os.O_RDONLY)
+
+    def read_from(self, handle: int, offset: int) -> bytes:
+        """Returns what an opened file holds from an offset to its end."""
+        parts = []
+        while part := os.pread(handle, READ_BYTES, offset):
+            parts.append(part)
+            offset += len(part)
+        return b"".join(parts)
+
+    def is_replaced(self, handle: int) -> bool:
+        """Returns whether an opened file was removed, or replaced by another of its name."""
+        return os.fstat(handle).st_nlink == 0
+
     def size(self, name: str) -> int:
         """Returns a file's size in bytes."""
         return os.stat(self._path_of(name)).st_size
--- a/birchstack/net/overflow.py
+++ b/birchstack/net/overflow.py
@@ -109,6 +109,31 @@
 StoreFactory = Callable[[Folder, float], OpenedStore]
 
 
+def keep_behind_others(opened: OpenedStore, entry: LedgerEntry, accepted_at: float) -> bool:
+    """Writes a document to a store that has others of its destination; returns whether the store has it.
+
+    Raises OSError if it could not be written.
+    """
+    if opened.store.holds(entry.id):
+        return True
+    if not opened.store.waiting(entry.destination)[0]:
+        return False
+    opened.store.append(
+        opened.make_document(
+            entry.id,
+            entry.type,
+            entry.destination,
+            entry.key,
+            entry.expiry,
+            entry.body,
+            entry.repeat_key,
+            None,
+            accepted_at,
+        )
+    )
+    return True
+
+
 class Overflow:
     """Moves documents between the store and the ledger.
 
@@ -126,6 +151,7 @@
         submit: Callable[[float, LedgerEntry, str | None], object],
         schedule_turn: Callable[[], None],
     ) -> None:
+        self._opened = opened
         self._store, self._window, self._make_document = opened
         self._ledger = ledger
         self._core = core
@@ -204,6 +230,16 @@
         self._stored[request.destination] = self._to_read[request.destination] = self._housekeeping_due = True
         return True
 
+    def keep(self, entry: LedgerEntry, wall: float) -> bool:
+        """Writes a document of a waiting process to the store, if others of its destination are there.
+
+        Returns whether the store has it. Raises OSError if it could not be written.
+        """
+        kept = keep_behind_others(self._opened, entry, wall)
+        if kept:
+            self._stored[entry.destination] = self._to_read[entry.destination] = self._housekeeping_due = True
+        return kept
+
     def freed(self, destination: int) -> None:
         """A document of the destination, or a call to it, has ended: there may be room for the next."""
         if destination in self._stored:
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import logging
 from collections.abc import Iterable
@@ -27,7 +28,7 @@
 from birchstack.net.notices import Notices
 from birchstack.net.operators import Answer, Metrics, OperatorServer
 from birchstack.net.operators import Handlers as OperatorHandlers
-from birchstack.net.overflow import Overflow, StoreFactory
+from birchstack.net.overflow import OpenedStore, Overflow, StoreFactory, keep_behind_others
 from birchstack.net.recollection import StoredEndpointStates
 from birchstack.net.room import divide_descriptors, limit_to_descriptors
 from birchstack.net.tally import Tally
@@ -41,9 +42,13 @@
 STATE_LOG_INTERVAL_S = 60.0
 MAX_REMEMBERED_REFUSALS = 4096  # a refused document may safely be accepted when it is submitted again
 SIGNAL_CHECK_S = 0.5  # interval between checks whether signals of other senders still arrive
-LOCK_NAME = "lock"  # held by the process that sends from the folder
+LOCK_NAME = "lock"  # held by the process that sends from the folder; a byte in it for each that waited
 LOCK_CHECK_S = 0.05  # interval between attempts of a waiting process to take the lock
 HOLDER_CHECK_FACTOR = 20  # the process that holds the lock looks for files to adopt this much less often
+# A document that a waiting process has accepted belongs to the holder once that has recorded it. Close to the
+# expiry both end it: the waiting process cannot see whether the holder will still be in time.
+END_UNCLAIMED_MS = 150.0  # this long before the expiry, the waiting process ends what is not claimed
+CLAIM_MARGIN_MS = 300.0  # the holder ends what it claims later than this before the expiry
 log = logging.getLogger(__name__)
 
 
@@ -66,9 +71,19 @@
         self._lasting = PersistentClock(self._machine, folder)
         self._core = Sender(config.settings, config.seed, self)  # the decision logic
         self._holds_lock = folder.lock(LOCK_NAME)  # False: another process of this sender holds it and sends
+        self._store = store
+        self._opened_store: OpenedStore | None = None
         self._ledger = Ledger(
-            folder, config.disk_bytes, "" if self._holds_lock else self._machine.unique_name()
+            folder,
+            config.disk_bytes,
+            "" if self._holds_lock else self._machine.unique_name(),
+            divert=self._divert_to_store,
         )
+        self._announced = self._holds_lock  # whether the holder has been told that this process waits
+        self._waited_count = -1  # processes that had waited for the folder when the holder last looked
+        self._exchanged = True  # this process knows what the other process of an upgrade has accepted
+        self._claimed: list[LedgerEntry] = []  # documents of waiting processes, to be submitted next
+        self._unclaimed_ends: dict[str, tuple[str, float]] = {}  # ends that a waiting process decided on
         shares = divide_descriptors(config.sockets, config.settings.slots)
         self._calls = Calls(
             loop,
@@ -99,6 +114,7 @@
         self._starting: dict[str, Call] = {}  # calls to start at the end of this turn
         self._connected: list[Call] = []  # calls whose connection is established, to write at the turn's end
         self._refusals: dict[str, tuple[str, float]] = {}  # by document id, for ids that are submitted again
+        self._claim_timer: asyncio.TimerHandle | None = None
         self._by_hand = AdministrativeStates(folder, self._lasting.ms)
         self._recollection = self._load_recollection() if self._holds_lock else None
         self._tally = Tally()
@@ -122,7 +138,6 @@
             self._audit.answer_keeper if self._audit else None,
         )
         self._door = OperatorServer(loop, operator_handlers, shares.operators) if config.ops else None
-        self._store = store
         self._overflow = None  # backlog of documents beyond a destination's window, where one is configured
         self.ended = loop.create_future()
 
@@ -140,6 +155,9 @@
             self._audit.record_settings(self._config, "start")
         self._watch.start(self._config.known)
         await self._watch.wait_for_first()
+        if not self._holds_lock:
+            self._announce()
+            self._drop_claimed()
         self._recover(self._ledger.entries)
         self._turn()
         await self._client_server.open(self._machine, self._config.listen)
@@ -170,7 +188,7 @@
             self._events.append((self._resubmit, owed))
         if self._store and self._holds_lock and found is self._ledger.entries:
             self._overflow = Overflow(
-                self._store(self._folder, wall),
+                self._open_store(),
                 self._ledger,
                 self._core,
                 wall,
@@ -179,6 +197,23 @@
                 self._schedule_turn,
             )
 
+    def _open_store(self) -> OpenedStore:
+        """Returns the backlog on disk, opened if it is not yet."""
+        if self._opened_store is None:
+            self._opened_store = self._store(self._folder, self._lasting.ms())
+        return self._opened_store
+
+    def _divert_to_store(self, entry: LedgerEntry) -> bool:
+        """Keeps a document that a waiting process accepted in the backlog, if others are there before it.
+
+        Returns whether it is there. Prevents it from passing others of its key, and from replacing one there
+        that has the same id."""
+        if not self._store:
+            return False
+        if self._overflow:
+            return self._overflow.keep(entry, self._lasting.ms())
+        return keep_behind_others(self._open_store(), entry, self._lasting.ms())
+
     def _load_recollection(self) -> StoredEndpointStates:
         """Reads what the folder, now held by this process, says about endpoints."""
         if not self._lasting.continued:
@@ -211,12 +246,13 @@
     def _check_lock(self) -> None:
         """Takes the folder over once the process that holds it has ended; the holder adopts left files.
 
-        While another process of this sender holds the folder, this one accepts documents and sends nothing.
-        Guards against two processes that send the same document, or track one endpoint's limits separately,
-        while one replaces the other (an upgrade), and covers a start beside a process that hangs. Once the
-        holder has ended, in whatever way, the lock is free: its file and this process's file are recovered as
-        after a restart, by new decision logic that first gets the lists received meanwhile. If the waiting
-        process ends first, the holder adopts its file. Cost: documents accepted meanwhile wait until then.
+        While another process of this sender holds the folder, this one accepts documents and sends nothing:
+        the holder takes over what it accepts, and sends it. Guards against two processes that send the same
+        document, or track one endpoint's limits separately, while one replaces the other (an upgrade), and
+        covers a start beside a process that hangs. Once the holder has ended, in whatever way, the lock is
+        free: its file and this process's file are recovered as after a restart, by new decision logic that
+        first gets the lists received meanwhile. If the waiting process ends first, the holder adopts its
+        file. Cost: documents that a hanging holder does not take over wait until it has ended.
         """
         if self._closing_at is not None:
             return
@@ -225,16 +261,22 @@
         )
         self._ledger.save_lost_records()
         self._ledger.remembered.forget(self._lasting.ms())
-        if self._holds_lock and (found := self._ledger.adopt_standby()):
-            self._recover({owed.id: owed for owed in found})
-            self._schedule_turn()
-        if self._holds_lock or not self._folder.lock(LOCK_NAME):
-            return
+        if self._holds_lock:
+            self._adopt_standby()
+        elif self._folder.lock(LOCK_NAME):
+            self._take_folder_over()
+        else:
+            self._announce()
+            self._drop_claimed()
+            self._end_unclaimed()
+
+    def _take_folder_over(self) -> None:
         self._turn()  # events so far belong in the ledger of the wait
         self._ledger.close()
-        self._ledger = Ledger(self._folder, self._config.disk_bytes)
+        self._ledger = Ledger(self._folder, self._config.disk_bytes, divert=self._divert_to_store)
         self._core = Sender(self._config.settings, self._config.seed, self)
-        self._holds_lock = True
+        self._holds_lock = self._announced = self._exchanged = True
+        self._unclaimed_ends.clear()
         self._signals_live = False  # the new decision logic has not been told yet
         self._by_hand.load()  # operators may have called the other process meanwhile
         if self._audit:
@@ -249,6 +291,111 @@
         log_event(log, "holds the folder", owed=len(self._ledger.entries))
         self._schedule_turn()
 
+    # Both processes of an upgrade are one sender
+
+    def _announce(self) -> None:
+        """Tells the holder that this process waits, before it accepts a document."""
+        if self._announced:
+            return
+        with contextlib.suppress(OSError):
+            handle = self._folder.open(LOCK_NAME)
+            self._announced = self._folder.append(handle, b".") == 1
+            self._folder.close(handle)
+
+    def _adopt_standby(self) -> None:
+        """The holder looks for waiting processes, and adopts what those that have ended left."""
+        if found := self._ledger.adopt_standby():
+            later, self._events = self._events, []  # submissions that came after these documents
+            self._recover({owed.id: owed for owed in found})
+            self._events += later
+            self._schedule_turn()
+        self._claim_standby()
+
+    def _exchange(self) -> None:
+        """Before documents are accepted: learns what the other process of an upgrade has accepted so far."""
+        if not self._holds_lock:
+            self._drop_claimed()
+            return
+        try:
+            waited = self._folder.size(LOCK_NAME)
+        except OSError:
+            waited = 0
+        try:
+            if waited != self._waited_count:
+                self._ledger.find_standby()
+                self._waited_count = waited
+            if self._closing_at is not None:
+                self._ledger.follow_standby()
+        except OSError as problem:
+            self._on_exchange_failed(problem)
+            return
+        self._claim_standby()
+
+    def _claim_standby(self) -> None:
+        """Takes over what waiting processes have accepted; again soon while there are any."""
+        if not self._ledger.follows_standby or self._closing_at is not None:
+            return
+        try:
+            self._claimed += self._ledger.claim_standby()
+            self._exchanged = True
+        except OSError as problem:
+            self._on_exchange_failed(problem)
+        if self._claimed:
+            self._schedule_turn()
+        if self._claim_timer is None or self._claim_timer.when() <= self._loop.time():
+            self._claim_timer = self._loop.call_later(LOCK_CHECK_S, self._claim_standby)
+
+    def _on_exchange_failed(self, problem: OSError) -> None:
+        self._exchanged = False
+        log_event(log, "other process not read", logging.ERROR, problem=problem)
+
+    def _submit_claimed(self, now: float, owed: LedgerEntry) -> None:
+        owed.deadline = now + owed.expiry - self._lasting.ms()
+        if owed.notice:  # its body is lost
+            self._notices.queue(owed.id, *owed.notice)
+        elif owed.deadline - now < CLAIM_MARGIN_MS:
+            self._end_with_notice(owed.id, "bounced", 0.0)
+        else:
+            self._resubmit(now, owed)
+
+    def _drop_claimed(self) -> None:
+        """A waiting process forgets what the holder has taken over."""
+        try:
+            claimed = self._ledger.drop_claimed()
+            self._exchanged = True
+        except OSError as problem:
+            self._on_exchange_failed(problem)
+            return
+        for owed in claimed:
+            self._unclaimed_ends.pop(owed.id, None)
+            self._enqueue(self._core.withdrawn, owed.id)
+
+    def _end_unclaimed(self) -> None:
+        """A waiting process ends documents that the holder does not take over, as in a hang or a shutdown."""
+        if not self._exchanged:
+            return
+        latest = self._lasting.ms() + END_UNCLAIMED_MS
+        for doc_id, (result, wait_ms) in [*self._unclaimed_ends.items()]:
+            owed = self._ledger.entries.get(doc_id)
+            if owed is None or owed.notice or owed.expiry <= latest:
+                del self._unclaimed_ends[doc_id]
+                if owed and not owed.notice:
+                    self._end_with_notice(doc_id, result, wait_ms)
+
+    def _is_ordered(self, request: ClientRequest) -> bool:
+        kinds = self._config.settings.types
+        return request.key is not None and any(kind.in_order for kind in kinds if kind.name == request.type)
+
+    def _must_refuse(self, request: ClientRequest) -> bool:
+        """Whether this process can accept nothing, or not this document: the other process of an upgrade may
+        have its id, or an earlier document of its key, without this one knowing."""
+        if self._closing_at is not None and not self._handing_over:
+            return True
+        if not self._holds_lock and not self._exchanged:
+            return True
+        cannot_keep_order = self._handing_over or not self._exchanged or not self._announced
+        return cannot_keep_order and self._is_ordered(request)
+
     # Events: queued, and reported to the decision logic in one turn
 
     def _enqueue(self, *event: object) -> None:
@@ -317,8 +464,13 @@
 
     def _turn(self) -> None:
         self._turn_due = False
+        if any(handler == self._accept for handler, *_ in self._events):
+            self._exchange()
         events, self._events = self._events, []
+        claimed, self._claimed = self._claimed, []
         now = self.clock()
+        for owed in claimed:  # before what this turn accepts, which may be later documents of their keys
+            self._guarded(self._submit_claimed, now, owed)
         for handler, *arguments in events:
             if handler == self._accept:
                 self._accept(now, *arguments)
@@ -376,7 +528,7 @@
         elif request.id in self._refusals:
             log_debug(log, "submitted again", doc=request.id, refused=True)
             request.reply(*self._refusals[request.id])
-        elif self._closing_at is not None and not self._handing_over:
+        elif self._must_refuse(request):
             self._answer(request, UNAVAILABLE, advice_ms)
         elif self._overflow and (verdict := self._overflow.admit(now, request, age, advice_ms)):
             if verdict[0] != ACCEPTED:
@@ -433,6 +585,7 @@
                     wall + request.remaining_ms,
                     request.body,
                     request.repeat_key,
+                    0.0 if self._holds_lock else wall,
                 )
             except OSError as problem:
                 log_event(log, "not taken on", logging.ERROR, problem=problem)
@@ -518,14 +671,21 @@
         if doc_id in self._pending:
             self._answer(self._pending.pop(doc_id), REJECTED, retry_after_ms)
         else:
-            self._end_with_notice(doc_id, "bounced", retry_after_ms)
+            self._end_accepted(doc_id, "bounced", retry_after_ms)
 
     def abandon(self, doc_id: str) -> None:
         """Abandons a document: in the answer to its client, or by a notice once that was accepted."""
         if doc_id in self._pending:
             self._answer(self._pending.pop(doc_id), ABANDONED)
         else:
-            self._end_with_notice(doc_id, "dead", 0.0)
+            self._end_accepted(doc_id, "dead", 0.0)
+
+    def _end_accepted(self, doc_id: str, result: str, wait_ms: float) -> None:
+        """Ends an accepted document undelivered; a waiting process leaves that to the holder until late."""
+        if self._holds_lock:
+            self._end_with_notice(doc_id, result, wait_ms)
+        else:
+            self._unclaimed_ends[doc_id] = result, wait_ms
 
     def _end_with_notice(self, doc_id: str, result: str, wait_ms: float, why: str = "") -> None:
         """Ends an accepted document undelivered; why: the reason to log if it was never transmitted."""
