The exchange between the processes of an upgrade has a module of its own

What one process tells the other through the folder, and which of them ends a document, is now `net/handover.py` (`Handover`); `Node` keeps what it submits and refuses. Two things came up on the way: an exchange that failed once at a holder without waiting processes stayed marked as failed, so that documents of ordered types were refused for good; and each failed look was logged, 20 times a second. Now the next look that succeeds clears it, and only the first failure of a run is logged.

--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import functools
 import logging
 from collections.abc import Iterable
@@ -21,6 +20,7 @@
 from birchstack.net.config import Config, ConfigError, apply_reload, check_applicable, load
 from birchstack.net.discovery import Watch
 from birchstack.net.front import ABANDONED, ACCEPTED, REJECTED, UNAVAILABLE, ClientRequest, ClientServer
+from birchstack.net.handover import CLAIM_MARGIN_MS, EXCHANGE_S, LOCK_NAME, Handover
 from birchstack.net.ledger import Ledger, LedgerEntry
 from birchstack.net.listed import EndpointList
 from birchstack.net.log import check_invariant, log_debug, log_event, violations
@@ -42,13 +42,8 @@
 STATE_LOG_INTERVAL_S = 60.0
 MAX_REMEMBERED_REFUSALS = 4096  # a refused document may safely be accepted when it is submitted again
 SIGNAL_CHECK_S = 0.5  # interval between checks whether signals of other senders still arrive
-LOCK_NAME = "lock"  # held by the process that sends from the folder; a byte in it for each that waited
-LOCK_CHECK_S = 0.05  # interval between attempts of a waiting process to take the lock
+LOCK_CHECK_S = EXCHANGE_S  # interval between attempts of a waiting process to take the lock
 HOLDER_CHECK_FACTOR = 20  # the process that holds the lock looks for files to adopt this much less often
-# A document that a waiting process has accepted belongs to the holder once that has recorded it. Close to the
-# expiry both end it: the waiting process cannot see whether the holder will still be in time.
-END_UNCLAIMED_MS = 150.0  # this long before the expiry, the waiting process ends what is not claimed
-CLAIM_MARGIN_MS = 300.0  # the holder ends what it claims later than this before the expiry
 log = logging.getLogger(__name__)
 
 
@@ -79,11 +74,16 @@
             "" if self._holds_lock else self._machine.unique_name(),
             divert=self._divert_to_store,
         )
-        self._announced = self._holds_lock  # whether the holder has been told that this process waits
-        self._waited_count = -1  # processes that had waited for the folder when the holder last looked
-        self._exchanged = True  # this process knows what the other process of an upgrade has accepted
-        self._claimed: list[LedgerEntry] = []  # documents of waiting processes, to be submitted next
-        self._unclaimed_ends: dict[str, tuple[str, float]] = {}  # ends that a waiting process decided on
+        self._handover = Handover(
+            folder,
+            loop,
+            self._lasting.ms,
+            self._ledger,
+            self._holds_lock,
+            self._schedule_turn,
+            lambda doc_id: self._enqueue(self._core.withdrawn, doc_id),
+            self._end_with_notice,
+        )
         shares = divide_descriptors(config.sockets, config.settings.slots)
         self._calls = Calls(
             loop,
@@ -114,7 +114,6 @@
         self._starting: dict[str, Call] = {}  # calls to start at the end of this turn
         self._connected: list[Call] = []  # calls whose connection is established, to write at the turn's end
         self._refusals: dict[str, tuple[str, float]] = {}  # by document id, for ids that are submitted again
-        self._claim_timer: asyncio.TimerHandle | None = None
         self._by_hand = AdministrativeStates(folder, self._lasting.ms)
         self._recollection = self._load_recollection() if self._holds_lock else None
         self._tally = Tally()
@@ -156,8 +155,7 @@
         self._watch.start(self._config.known)
         await self._watch.wait_for_first()
         if not self._holds_lock:
-            self._announce()
-            self._drop_claimed()
+            self._handover.wait()
         self._recover(self._ledger.entries)
         self._turn()
         await self._client_server.open(self._machine, self._config.listen)
@@ -266,17 +264,15 @@
         elif self._folder.lock(LOCK_NAME):
             self._take_folder_over()
         else:
-            self._announce()
-            self._drop_claimed()
-            self._end_unclaimed()
+            self._handover.wait()
 
     def _take_folder_over(self) -> None:
         self._turn()  # events so far belong in the ledger of the wait
         self._ledger.close()
         self._ledger = Ledger(self._folder, self._config.disk_bytes, divert=self._divert_to_store)
         self._core = Sender(self._config.settings, self._config.seed, self)
-        self._holds_lock = self._announced = self._exchanged = True
-        self._unclaimed_ends.clear()
+        self._holds_lock = True
+        self._handover.hold_folder(self._ledger)
         self._signals_live = False  # the new decision logic has not been told yet
         self._by_hand.load()  # operators may have called the other process meanwhile
         if self._audit:
@@ -291,17 +287,6 @@
         log_event(log, "holds the folder", owed=len(self._ledger.entries))
         self._schedule_turn()
 
-    # Both processes of an upgrade are one sender
-
-    def _announce(self) -> None:
-        """Tells the holder that this process waits, before it accepts a document."""
-        if self._announced:
-            return
-        with contextlib.suppress(OSError):
-            handle = self._folder.open(LOCK_NAME)
-            self._announced = self._folder.append(handle, b".") == 1
-            self._folder.close(handle)
-
     def _adopt_standby(self) -> None:
         """The holder looks for waiting processes, and adopts what those that have ended left."""
         if found := self._ledger.adopt_standby():
@@ -309,47 +294,10 @@
             self._recover({owed.id: owed for owed in found})
             self._events += later
             self._schedule_turn()
-        self._claim_standby()
-
-    def _exchange(self) -> None:
-        """Before documents are accepted: learns what the other process of an upgrade has accepted so far."""
-        if not self._holds_lock:
-            self._drop_claimed()
-            return
-        try:
-            waited = self._folder.size(LOCK_NAME)
-        except OSError:
-            waited = 0
-        try:
-            if waited != self._waited_count:
-                self._ledger.find_standby()
-                self._waited_count = waited
-            if self._closing_at is not None:
-                self._ledger.follow_standby()
-        except OSError as problem:
-            self._on_exchange_failed(problem)
-            return
-        self._claim_standby()
-
-    def _claim_standby(self) -> None:
-        """Takes over what waiting processes have accepted; again soon while there are any."""
-        if not self._ledger.follows_standby or self._closing_at is not None:
-            return
-        try:
-            self._claimed += self._ledger.claim_standby()
-            self._exchanged = True
-        except OSError as problem:
-            self._on_exchange_failed(problem)
-        if self._claimed:
-            self._schedule_turn()
-        if self._claim_timer is None or self._claim_timer.when() <= self._loop.time():
-            self._claim_timer = self._loop.call_later(LOCK_CHECK_S, self._claim_standby)
-
-    def _on_exchange_failed(self, problem: OSError) -> None:
-        self._exchanged = False
-        log_event(log, "other process not read", logging.ERROR, problem=problem)
+        self._handover.claim()
 
     def _submit_claimed(self, now: float, owed: LedgerEntry) -> None:
+        """Submits a document that a waiting process accepted and this one has taken over."""
         owed.deadline = now + owed.expiry - self._lasting.ms()
         if owed.notice:  # its body is lost
             self._notices.queue(owed.id, *owed.notice)
@@ -358,43 +306,17 @@
         else:
             self._resubmit(now, owed)
 
-    def _drop_claimed(self) -> None:
-        """A waiting process forgets what the holder has taken over."""
-        try:
-            claimed = self._ledger.drop_claimed()
-            self._exchanged = True
-        except OSError as problem:
-            self._on_exchange_failed(problem)
-            return
-        for owed in claimed:
-            self._unclaimed_ends.pop(owed.id, None)
-            self._enqueue(self._core.withdrawn, owed.id)
-
-    def _end_unclaimed(self) -> None:
-        """A waiting process ends documents that the holder does not take over, as in a hang or a shutdown."""
-        if not self._exchanged:
-            return
-        latest = self._lasting.ms() + END_UNCLAIMED_MS
-        for doc_id, (result, wait_ms) in [*self._unclaimed_ends.items()]:
-            owed = self._ledger.entries.get(doc_id)
-            if owed is None or owed.notice or owed.expiry <= latest:
-                del self._unclaimed_ends[doc_id]
-                if owed and not owed.notice:
-                    self._end_with_notice(doc_id, result, wait_ms)
-
-    def _is_ordered(self, request: ClientRequest) -> bool:
-        kinds = self._config.settings.types
-        return request.key is not None and any(kind.in_order for kind in kinds if kind.name == request.type)
-
     def _must_refuse(self, request: ClientRequest) -> bool:
         """Whether this process can accept nothing, or not this document: the other process of an upgrade may
         have its id, or an earlier document of its key, without this one knowing."""
         if self._closing_at is not None and not self._handing_over:
             return True
-        if not self._holds_lock and not self._exchanged:
+        if not self._holds_lock and not self._handover.complete:
             return True
-        cannot_keep_order = self._handing_over or not self._exchanged or not self._announced
-        return cannot_keep_order and self._is_ordered(request)
+        return request.key is not None and not self._handover.keeps_order and self._is_ordered(request.type)
+
+    def _is_ordered(self, type_name: str) -> bool:
+        return any(kind.in_order for kind in self._config.settings.types if kind.name == type_name)
 
     # Events: queued, and reported to the decision logic in one turn
 
@@ -465,11 +387,12 @@
     def _turn(self) -> None:
         self._turn_due = False
         if any(handler == self._accept for handler, *_ in self._events):
-            self._exchange()
+            self._handover.exchange()
         events, self._events = self._events, []
-        claimed, self._claimed = self._claimed, []
         now = self.clock()
-        for owed in claimed:  # before what this turn accepts, which may be later documents of their keys
+        for owed in (
+            self._handover.pop_claimed()
+        ):  # before what this turn accepts, which may be later documents of their keys
             self._guarded(self._submit_claimed, now, owed)
         for handler, *arguments in events:
             if handler == self._accept:
@@ -685,7 +608,7 @@
         if self._holds_lock:
             self._end_with_notice(doc_id, result, wait_ms)
         else:
-            self._unclaimed_ends[doc_id] = result, wait_ms
+            self._handover.decide_end(doc_id, result, wait_ms)
 
     def _end_with_notice(self, doc_id: str, result: str, wait_ms: float, why: str = "") -> None:
         """Ends an accepted document undelivered; why: the reason to log if it was never transmitted."""
@@ -839,6 +762,7 @@
         if self._closing_at is not None:
             return
         self._closing_at = self._loop.time()
+        self._handover.closing = True
         self._handing_over = self._holds_lock and self._ledger.has_standby()
         log_event(
             log,
