--- a/birchstack/net/ended.py
+++ b/birchstack/net/ended.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-import base64
+import binascii
 import hashlib
 import math
 
 PERIOD_MS = 1000.0  # documents whose time ends within the same period are forgotten together
 REPEAT_MARGIN_MS = 1000.0  # a repeat reaches the sender at most this long after the document's expiry
 DIGEST_BYTES = 8
+DIGEST_CHARACTERS = 11  # in base64, without padding
 ITEM_BYTES = 14  # a digest in a record, with its separator and quotation marks
 RECORD_BYTES = 64  # checksum, kind and time of a record
 RECORD_KIND = "ended"
@@ -21,7 +22,7 @@
 
 def _digest(doc_id: str) -> str:
     raw = hashlib.blake2b(doc_id.encode(), digest_size=DIGEST_BYTES).digest()
-    return base64.b64encode(raw).decode("ascii").rstrip("=")
+    return binascii.b2a_base64(raw, newline=False)[:DIGEST_CHARACTERS].decode("ascii")
 
 
 class EndedDocuments:
