A takeover also takes over what a second waiting process has accepted, in order

The one that gets the folder had recovered its own file and sent from it before it looked for the other's, so a later document of a key could go before an earlier one.

Cause: Ledger._recover left the files of live processes alone; only the claims that follow read them.

Change: they are followed from the start on; what they have is sorted by time of acceptance with what ended processes left, and recorded by a compaction. Where that fails the documents stay with their process. Close to their expiry the margin of other claims holds.

Result: test_a_takeover_keeps_the_order_of_documents_that_another_waiting_process_accepted, new (before: d1, d3, d5 of the live process are missing at the start and come last).

--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -73,6 +73,7 @@
         self._followers: dict[str, LedgerFollower] = {}  # by file, of live standby processes
         self._unclaimed: dict[str, LedgerEntry] = {}  # accepted by them, not taken over yet
         self._holder: LedgerFollower | None = None  # on a standby process
+        self.claimed_at_start: set[str] = set()  # documents of standby processes that are alive
         self._limit = limit - 4 * 4096  # the folder's own directory blocks may count
         self.entries: dict[str, LedgerEntry] = {}
         self.ended: dict[str, None] = {}  # finished before the start, but still recorded in the file
@@ -504,8 +505,10 @@
         self.waits, self._next_body = past.waits, past.next_body
         for other in others:
             self.remembered.merge(other.remembered)
+        self._follow(name for name, ended in standby.items() if not ended)
+        live = self._poll_at_start()
         accepted = [entry for other in others for entry in other.entries.values()]
-        fresh, diverted = self._select_fresh(accepted)
+        fresh, diverted = self._select_fresh(accepted + live)
         self.entries.update((entry.id, entry) for entry in fresh)
         for entry in diverted:
             self.remembered.add(entry.id, entry.expiry)
@@ -517,6 +520,7 @@
             self._load_body(entry)
         self._remove_stray_files(not all(standby.values()))
         self._handle = self._folder.open(FILE)
+        self._record_claimed_at_start(live)
         self._remove_adopted_files()
         if own or texts:
             log_event(
@@ -527,6 +531,26 @@
                 recovering=len(self.recoveries),
             )
 
+    def _poll_at_start(self) -> list[LedgerEntry]:
+        """Returns what live standby processes have accepted so far."""
+        try:
+            self.follow_standby()
+        except OSError as problem:
+            log_event(log, "not taken up", logging.ERROR, problem=problem)
+            return []
+        return [replace(entry) for entry in self._unclaimed.values() if entry.notice is None]
+
+    def _record_claimed_at_start(self, live: list[LedgerEntry]) -> None:
+        """Records the documents of live standby processes; where that fails they stay with their process."""
+        claimed = [entry for entry in live if self.entries.get(entry.id) is entry]
+        if not live or self.compact():
+            self._unclaimed.clear()
+            self.claimed_at_start.update(entry.id for entry in claimed)
+            return
+        for entry in claimed:
+            del self.entries[entry.id]
+            self._body_bytes -= round_up_to_blocks(entry.size)
+
     def _load_body(self, entry: LedgerEntry) -> None:
         """Reads a document's body; one whose body is missing ends undelivered."""
         if entry.notice:
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -183,7 +183,8 @@
             if owed.notice:
                 self._notices.queue(owed.id, *owed.notice)
                 continue
-            self._events.append((self._resubmit, owed))
+            claimed = owed.id in self._ledger.claimed_at_start
+            self._events.append((self._submit_claimed if claimed else self._resubmit, owed))
         if self._store and self._holds_lock and found is self._ledger.entries:
             self._overflow = Overflow(
                 self._open_store(),
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -45,6 +45,21 @@
     assert second.knows("d6") is False and second.drop_claimed() and second.knows("d6") and after.knows("d6")
 
 
+def test_a_takeover_keeps_the_order_of_documents_that_another_waiting_process_accepted(tmp_path):
+    (holder, holder_folder), (first, _), (second, _) = (
+        start(tmp_path, each) for each in ("", "beef", "cafe")
+    )
+    take(holder, "d0")
+    for number in range(1, 7):  # the holder hangs: it claims nothing
+        accept((second, first)[number % 2], f"d{number}", 10.0 + number)
+    kill(holder_folder)
+    first.close()
+    for _ in range(2):  # the second time after another kill
+        after = Ledger(Folder(str(tmp_path)), LIMIT)
+        assert [*after.entries] == [f"d{number}" for number in range(7)] and claim(after) == []
+    assert len(second.drop_claimed()) == 3
+
+
 def test_a_body_stays_while_one_process_needs_it_and_no_longer(tmp_path):
     (holder, _), (standby, _) = start(tmp_path), start(tmp_path, "beef")
     take(holder, "same", b"holder's")
