The file of a process that waits for long stays small, and so does its look at the holder's file

Cause: since a waiting process drops what the holder has taken over without a record, so its file grew by some 130 bytes a document for as long as it waits, past the folder's limit in the end; and each look compared all that it had with all that the holder knows, which beside a holder of an older build (it takes nothing over) grows with the square of the documents.

Change: dropping compacts the file like any other end; only ids that are new in the holder's file are compared, all of them where that file was compacted, as it has digests alone then.

Tests of standby, ledger, repeated ids and upgrade passed.

--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -283,16 +283,22 @@
         """On a standby process: drops the documents that the holder has taken over, and returns them.
 
         Raises OSError if the holder's file cannot be read."""
+        before = self._holder.replay, self._holder.replay.ended_records
         if not self._holder.poll():
             return []
         replay = self._holder.replay
-        claimed = [entry for entry in self.entries.values() if replay.knows(entry.id)]
+        fresh = self._holder.pop_ids()
+        if (replay, replay.ended_records) == before:
+            claimed = [self.entries[each] for each in fresh if each in self.entries]
+        else:  # a compacted file has only digests of documents that have ended
+            claimed = [entry for entry in self.entries.values() if replay.knows(entry.id)]
         for entry in claimed:
             del self.entries[entry.id]
             self._body_bytes -= round_up_to_blocks(entry.size)
             held = replay.entries.get(entry.id)
             if held is None or held.body_number != entry.body_number:  # it needs no body, or has its own
                 self._remove_body_file(entry)
+        self._maintain()
         return claimed
 
     def adopt_standby(self) -> list[LedgerEntry]:
--- a/birchstack/net/ledger_records.py
+++ b/birchstack/net/ledger_records.py
@@ -84,6 +84,7 @@
         self.adopted_files: set[str] = set()  # standby files whose documents have been adopted
         self.next_body = 0  # one above the highest body number of a holder
         self.unreadable = 0  # lines that cannot be read
+        self.ended_records = 0  # records that name only digests of documents
         for line in filter(None, text.split(b"\n")):
             if not self.apply(line):
                 self.unreadable += 1  # the last record was cut off by a crash, or the disk is damaged
@@ -110,6 +111,7 @@
             return
         if what == ENDED:  # doc_id is the time until which documents are remembered
             self.remembered.replay(doc_id, *words)
+            self.ended_records += 1
             return
         if what in recoveries.STAGES:  # doc_id is an endpoint
             self._recoveries.replay(what, doc_id, *words)
--- a/birchstack/net/standby.py
+++ b/birchstack/net/standby.py
@@ -56,10 +56,14 @@
             self._fresh[next(reversed(self.replay.entries))] = None
         return True
 
+    def pop_ids(self) -> dict[str, None]:
+        """Returns the ids of the documents accepted since the last call."""
+        fresh, self._fresh = self._fresh, {}
+        return fresh
+
     def pop_accepted(self) -> list[LedgerEntry]:
         """Returns the documents accepted since the last call that the other process still holds."""
-        fresh, self._fresh = self._fresh, {}
-        return [self.replay.entries[each] for each in fresh if each in self.replay.entries]
+        return [self.replay.entries[each] for each in self.pop_ids() if each in self.replay.entries]
 
     def close(self) -> None:
         """Closes the file."""
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -2,6 +2,7 @@
 
 import os
 
+import pytest
 from test_ledger import kill, take
 
 from birchstack.net import machine as module
@@ -60,6 +61,21 @@
     assert len(second.drop_claimed()) == 3
 
 
+@pytest.mark.parametrize("ended", [False, True])
+def test_the_file_of_a_process_that_waits_for_long_stays_small(tmp_path, ended):
+    (holder, _), (standby, _) = start(tmp_path), start(tmp_path, "beef")
+    for number in range(4000):
+        accept(standby, f"d{number}", 10.0 + number, b"")
+        if number % 40 == 39:
+            assert len(claim(holder)) == 40
+            for entry in [*holder.entries.values()] if ended else ():
+                holder.finish(entry)
+            assert not ended or number % 400 or holder.compact()
+            assert len(standby.drop_claimed()) == 40 and not standby.entries
+            assert os.path.getsize(tmp_path / "ledger-next-beef") < 150_000
+    assert not ended or os.path.getsize(tmp_path / "ledger") < 500_000
+
+
 def test_a_body_stays_while_one_process_needs_it_and_no_longer(tmp_path):
     (holder, _), (standby, _) = start(tmp_path), start(tmp_path, "beef")
     take(holder, "same", b"holder's")
