Memory, delays of the event loop and incidents of clients are measured; exceptions name their place

New in /metrics: memory_bytes, loop.max_delay_ms, loop.delays, clients, clients.closing and each counted incident of clients (clients.*); in the log: "event loop held up", memory and delay in event=state, error= and at= ahead of a trace that is shortened in its middle.

--- a/birchstack/emulator/rig/virtual.py
+++ b/birchstack/emulator/rig/virtual.py
@@ -63,6 +63,10 @@
         """Listens on the emulated network."""
         return await loop.create_server(protocol, *where)
 
+    def memory_bytes(self) -> int:
+        """Returns 0: emulated processes share the memory of this one."""
+        return 0
+
     def max_descriptors(self) -> int:
         """Returns a limit that is never reached."""
         return 1 << 20
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -36,6 +36,9 @@
 ID_PATTERN = re.compile("[0-9A-Za-z._~:+/=@-]{1,128}")
 NUMBER_PATTERN = re.compile("[0-9]{1,9}")
 TEXT_PATTERN = re.compile("[ -~]{1,128}")  # an ordering key, an idempotency key or a tenant's name
+FIRST_LOGGED = 3  # incidents of a kind that are logged, before only each WARNING_INTERVAL-th is
+WARNING_INTERVAL = 1000
+METRIC_GAP = re.compile("[^a-z]+")  # in the name of an incident, replaced in that of its metric
 log = logging.getLogger(__name__)
 
 
@@ -315,7 +318,7 @@
         self.time = loop.time
         self.closing = False
         self.drained = False
-        self.counts = {}
+        self.counts: dict[str, int] = {}  # incidents, by what happened
 
     async def open(self, machine: Machine, where: tuple[str, int]) -> None:
         """Starts listening."""
@@ -339,10 +342,21 @@
         return bool(listens or self._clients or self._leaving)
 
     def count(self, what: str) -> None:
-        """Counts an incident; the first three of a kind are logged."""
+        """Counts an incident; the first three of a kind are logged, and each 1,000th."""
         self.counts[what] = self.counts.get(what, 0) + 1
-        if self.counts[what] <= 3:
-            log_event(log, what, logging.WARNING)
+        if self.counts[what] <= FIRST_LOGGED or self.counts[what] % WARNING_INTERVAL == 0:
+            log_event(log, what, logging.WARNING, count=self.counts[what], clients=len(self._clients))
+
+    def figures(self) -> list[tuple[str, object]]:
+        """Returns the metrics, by name."""
+        return [
+            ("clients", len(self._clients)),
+            ("clients.closing", len(self._leaving)),
+            *(
+                (f"clients.{METRIC_GAP.sub('_', what.lower())}", count)
+                for what, count in sorted(self.counts.items())
+            ),
+        ]
 
     def register(self, client: ClientConnection) -> None:
         """Registers a connection; beyond the limit, another one is closed or this one is refused."""
--- a/birchstack/net/log.py
+++ b/birchstack/net/log.py
@@ -10,11 +10,25 @@
 import os
 import select
 import sys
+import traceback
 from collections import Counter
 
+MAX_TRACE_CHARACTERS = 2500  # escaped and with the other fields it fits into a line of PIPE_BUF bytes
+FRAMES_SHOWN = 3  # innermost places of an exception that are named ahead of its trace
 violations: Counter[str] = Counter()  # violated invariants since the start
 
 
+def _place_of(problem: BaseException) -> str:
+    """Returns the innermost places of an exception, outermost first."""
+    frames = traceback.extract_tb(problem.__traceback__)[-FRAMES_SHOWN:]
+    return ",".join(f"{os.path.basename(each.filename)}:{each.lineno}" for each in frames)
+
+
+def _shorten(text: str, limit: int) -> str:
+    """Cuts a long text in its middle: the end of a trace tells the most."""
+    return text if len(text) <= limit else f"{text[: limit // 4]}...{text[-3 * limit // 4 :]}"
+
+
 class KeyValueFormatter(logging.Formatter):
     """Formats a record as key=value pairs: the standard ones, then those of the call."""
 
@@ -28,7 +42,10 @@
             **getattr(record, "fields", {}),
         }
         if record.exc_info:
-            fields["trace"] = self.formatException(record.exc_info)
+            problem = record.exc_info[1]
+            fields["error"] = f"{type(problem).__name__}: {problem}"
+            fields["at"] = _place_of(problem)
+            fields["trace"] = _shorten(self.formatException(record.exc_info), MAX_TRACE_CHARACTERS)
         return " ".join(f"{key}={self._quoted(value)}" for key, value in fields.items())
 
     @staticmethod
--- a/birchstack/net/machine.py
+++ b/birchstack/net/machine.py
@@ -25,6 +25,7 @@
 ACCEPT_PAUSE_S = 0.1  # no connection is accepted for this time after descriptors ran out
 READ_BYTES = 1 << 20  # read at once from a file of any size
 BOOT_ID_PATH = "/proc/sys/kernel/random/boot_id"
+MEMORY_PATH = "/proc/self/statm"  # sizes in pages; the second one is what is resident
 CLOCK_FILE = "clock"  # file that stores the persistent clock's offset
 
 
@@ -213,6 +214,14 @@
         """Returns a globally unique name of hexadecimal digits."""
         return os.urandom(8).hex()
 
+    def memory_bytes(self) -> int:
+        """Returns the memory that the process has resident; 0 if the system does not tell."""
+        try:
+            with open(MEMORY_PATH, encoding="ascii") as file:
+                return int(file.read().split()[1]) * resource.getpagesize()
+        except (OSError, ValueError, IndexError):
+            return 0
+
     def folder(self, path: str) -> Folder:
         """Returns the state folder at a path."""
         return Folder(path)
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -32,6 +32,7 @@
 from birchstack.net.recollection import StoredEndpointStates
 from birchstack.net.room import divide_descriptors, limit_to_descriptors
 from birchstack.net.tally import Tally
+from birchstack.net.vitals import Vitals
 
 # Graceful shutdown, in seconds after SIGTERM
 ACCEPT_CLIENTS_S = 0.8  # new client connections are accepted until then
@@ -39,6 +40,7 @@
 FINISH_CALLS_S = 3.5  # calls in flight are waited for until then
 OVERDUE_MS = 100.0  # a document that has not ended this long after its expiry is overdue
 EXPIRY_MARGIN_MS = 100.0  # an answer this close to the expiry may count as too late: clocks and sockets lag
+OVERDUE_CHECK_S = OVERDUE_MS / 2000.0  # interval between looks for overdue documents
 STATE_LOG_INTERVAL_S = 60.0
 MAX_REMEMBERED_REFUSALS = 4096  # a refused document may safely be accepted when it is submitted again
 SIGNAL_CHECK_S = 0.5  # interval between checks whether signals of other senders still arrive
@@ -120,6 +122,7 @@
         self._by_hand = AdministrativeStates(folder, self._lasting.ms)
         self._recollection = self._load_recollection() if self._holds_lock else None
         self._tally = Tally()
+        self._vitals = Vitals(loop, self._machine, OVERDUE_CHECK_S)
         self._reloads = [0, 0]  # configurations applied and rejected
         self._turn_due = False
         self._last_turn_at = 0.0
@@ -428,6 +431,7 @@
 
     def _end_overdue(self) -> None:
         """Safety net: ends documents that the decision logic left unended past their expiry."""
+        self._vitals.tick()
         late = self.clock() - OVERDUE_MS
         overdue = [each for each in self._ledger.entries.values() if each.deadline < late and not each.notice]
         if overdue:
@@ -437,7 +441,7 @@
             self._end_with_notice(owed.id, "dead", 0.0)
             self._enqueue(self._core.withdrawn, owed.id)
             check_invariant(False, "a document ends before its expiry")
-        self._loop.call_later(OVERDUE_MS / 2000.0, self._end_overdue)
+        self._loop.call_later(OVERDUE_CHECK_S, self._end_overdue)
 
     def _accept(self, now: float, request: ClientRequest) -> None:
         """Answers a submission that needs no decision, or submits the document to the decision logic."""
@@ -579,6 +583,8 @@
             out=len(self._calls),
             notices=len(self._notices),
             clients=len(self._client_server),
+            memory=self._machine.memory_bytes(),
+            delay_ms=self._vitals.max_delay_ms,
             broken=dict(violations),
             untried=dict(self._tally.untried),
         )
@@ -708,7 +714,12 @@
             len(self._list.entries),
             avoided,
             tuple(self._reloads),
-            [*self._calls.log.figures(), *(self._audit.figures() if self._audit else ())],
+            [
+                *self._calls.log.figures(),
+                *self._client_server.figures(),
+                *self._vitals.figures(),
+                *(self._audit.figures() if self._audit else ()),
+            ],
         )
 
     def _set_by_hand(self, endpoint: str, out: bool) -> Answer:
--- a/tests/test_call_log.py
+++ b/tests/test_call_log.py
@@ -1,13 +1,19 @@
 """What the log and the metrics say about calls, connections and answers."""
 
 import asyncio
+import logging
 import os
 import re
+import select
 import subprocess
 import sys
 
 from fake import OK_200, answer, play
 
+from birchstack.net.log import KeyValueFormatter
+from birchstack.net.machine import Machine
+from birchstack.net.vitals import Vitals
+
 
 def parse_metrics(text):
     return dict(line.split("=") for line in text.splitlines())
@@ -52,3 +58,35 @@
         timeout=20,
     )
     assert run.returncode == 2 and "BALANCER_LOG_LEVEL" in run.stderr and "Traceback" not in run.stderr
+
+
+def test_an_exception_names_its_kind_and_place_ahead_of_a_trace_that_fits_the_line():
+    def fail(depth):
+        if depth:
+            fail(depth - 1)
+        raise OSError(107, "not connected" + " " * 20 * depth)
+
+    try:
+        fail(200)
+    except OSError:
+        record = logging.LogRecord("net", logging.ERROR, __file__, 1, "callback", (), sys.exc_info())
+    line = KeyValueFormatter().format(record)
+    before, _, trace = line.partition(" trace=")
+    assert 'error="OSError: [Errno 107] not connected"' in before and before.count("test_call_log.py:") == 3
+    assert len(line) < select.PIPE_BUF and "not connected" in trace[-40:]
+
+
+def test_a_delay_of_the_event_loop_is_measured_and_logged_once_a_second(caplog):
+    class Loop:
+        def time(self):
+            return now
+
+    vitals, now = Vitals(Loop(), Machine(), 0.05), 10.0
+    for delay in (0.0, 0.01, 0.3, 0.4, 0.9):
+        vitals.tick()
+        now += 0.05 + delay
+    vitals.tick()
+    figures = dict(vitals.figures())
+    assert figures["loop.delays"] == 3 and figures["loop.max_delay_ms"] == 900
+    assert 1 << 20 < figures["memory_bytes"] < 1 << 34
+    assert [each.getMessage() for each in caplog.records] == ["event loop held up"] * 2
