--- a/tests/fake.py
+++ b/tests/fake.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import sys
+import weakref
 from pathlib import Path
 
 from birchstack import interface as our
@@ -260,6 +261,7 @@
         self.port, self._known, self._limits, self.out, self.most_out = free_port(), known, limits, 0, 0
         self.ops, self.changes, self._environment = free_port(), changes or {}, environment or {}
         self.on_call = lambda: None
+        self._writers = weakref.WeakSet()
         self._limited = descriptors and (
             lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
         )
@@ -277,6 +279,9 @@
             await self.kill(signal.SIGKILL)
         for each in self._servers:
             each.close()
+        for writer in self._writers:  # one that is collected after its loop was closed raises an error
+            writer.transport.abort()
+        await asyncio.sleep(0)
 
     def entry(self, state="active", uid="s-1", place=None):
         return {
@@ -328,7 +333,7 @@
         )
         for _ in range(500):
             with contextlib.suppress(OSError):
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                reader, writer = await self.client()
                 writer.write(b"GET /up HTTP/1.1\r\nHost: api\r\nConnection: close\r\n\r\n")
                 assert (await read_message(reader))[0].startswith("HTTP/1.1 200")
                 writer.close()
@@ -366,8 +371,10 @@
         self.process.send_signal(number)
         return await self.process.wait()
 
-    async def client(self):
-        return await asyncio.open_connection("127.0.0.1", self.port)
+    async def client(self, port=None):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port or self.port)
+        self._writers.add(writer)
+        return reader, writer
 
     async def hand_in(self, *words, **more):
         """Hands one document in over a connection of its own: the answer's status and fields."""
@@ -382,7 +389,7 @@
 
     async def operator(self, method, target, port=None):
         """One call at the operators' door: its status and body."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", port or self.ops)
+        reader, writer = await self.client(port or self.ops)
         writer.write(f"{method} {target} HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\n\r\n".encode())
         first, _, body = await read_message(reader)
         writer.close()
@@ -400,6 +407,7 @@
 
     async def _endpoint(self, reader, writer):
         self.connections += 1
+        self._writers.add(writer)
         while True:
             message = await read_message(reader)
             if message is None:
@@ -423,6 +431,7 @@
         writer.close()
 
     async def _platform(self, reader, writer):
+        self._writers.add(writer)
         while (message := await read_message(reader)) is not None:
             if message[0].startswith("POST /v1/notices "):
                 status = self.status.pop(0) if isinstance(self.status, list) else self.status
