--- a/birchstack/net/driver.py
+++ b/birchstack/net/driver.py
@@ -140,13 +140,19 @@
 
     def finish(self, on_closed: Callable[[], None]) -> None:
         """Ends the sending side once everything is written; received bytes are discarded until the close."""
-        if not self.closed:
-            self.closed = True
-            self._on_closed = on_closed
-            if not self._transport.is_closing():
-                self._transport.resume_reading()
-                self._transport.write_eof()
-                asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
+        if self.closed:
+            return
+        self.closed = True
+        self._on_closed = on_closed
+        if self._transport.is_closing():
+            return
+        self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError:  # the peer has reset the connection, which the event loop has not seen yet
+            self._transport.abort()
+            return
+        asyncio.get_running_loop().call_later(LINGER_S, self._transport.abort)
 
     def abort(self) -> None:
         """Closes the connection at once; the owner is not told."""
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -17,6 +17,7 @@
 from birchstack.net.driver import Link
 from birchstack.net.log import log_debug, log_event
 from birchstack.net.machine import Listener, Machine
+from birchstack.net.periodic import PeriodicTask, run_isolated
 from birchstack.net.room import max_accepting
 
 # Verdicts on a submitted document
@@ -331,7 +332,7 @@
             max_accepting(self._max_clients),
             self._on_no_descriptor,
         )
-        self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        PeriodicTask(self._loop, SWEEP_INTERVAL_S, self._sweep)
 
     def __len__(self) -> int:
         return len(self._clients)
@@ -410,9 +411,8 @@
     def _sweep(self) -> None:
         now = self.time()
         for client in [each for each in self._clients if each.due <= now]:
-            client.on_deadline()
+            run_isolated(client.on_deadline)
         self._close_idle()  # those whose request ended while clients are sent away
-        self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     @property
     def ending(self) -> bool:
@@ -433,7 +433,7 @@
         for client in (
             [each for each in self._clients if each.has_requested and each.idle] if self.ending else []
         ):
-            client.flush(close=True)
+            run_isolated(client.flush, True)
 
     def stop_listening(self, quiet: int = 0) -> None:
         """Closes the listener once all connections that wait were accepted; quiet: passes without one.
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -240,8 +240,12 @@
             self._folder.unlock(self._name + LOCK_SUFFIX)
 
     def has_standby(self) -> bool:
-        """Returns whether a standby process waits for this one to end."""
-        return any(not ended for ended in self._standby_files().values())
+        """Returns whether a standby process waits for this one to end; False if the folder cannot be read."""
+        try:
+            return any(not ended for ended in self._standby_files().values())
+        except OSError as problem:
+            log_event(log, "standby processes not looked for", logging.ERROR, problem=problem)
+            return False
 
     def find_standby(self) -> None:
         """Looks for standby processes, to be followed from now on; raises OSError if that failed."""
--- a/birchstack/net/operators.py
+++ b/birchstack/net/operators.py
@@ -17,8 +17,10 @@
 from birchstack.net.driver import Link
 from birchstack.net.log import log_event
 from birchstack.net.machine import Machine
+from birchstack.net.periodic import PeriodicTask
 
 REQUEST_TIMEOUT_S = 2.0  # a request that is incomplete after this time is cut off
+SWEEP_INTERVAL_S = 0.25
 MAX_CONNECTIONS = 64  # connections at once; the oldest is closed for a new one
 MAX_ACCEPTING = 2  # connections that are being accepted at once
 MAX_BODY_BYTES = 4096  # bytes in the body of a request at most
@@ -160,14 +162,14 @@
         self._max_connections = max_connections
         self._connections: dict[OperatorConnection, float] = {}  # deadline of each request, oldest first
         self._server: asyncio.Server | None = None
-        self._sweep_timer: asyncio.TimerHandle | None = None
+        self._sweeping: PeriodicTask | None = None
 
     async def open(self, machine: Machine, address: tuple[str, int]) -> None:
         """Starts listening."""
         self._server = await machine.listen(
             self._loop, address, lambda: Link(OperatorConnection(self)), False, MAX_ACCEPTING
         )
-        self._sweep()
+        self._sweeping = PeriodicTask(self._loop, SWEEP_INTERVAL_S, self._sweep)
 
     def register(self, connection: OperatorConnection) -> None:
         """Registers a connection; if there are too many, closes the oldest, as idle ones must not block."""
@@ -184,7 +186,6 @@
         now = self._loop.time()
         for connection in [each for each, due in self._connections.items() if due <= now]:
             connection.abort()
-        self._sweep_timer = self._loop.call_later(0.25, self._sweep)
 
     def answer(self, head: http1.Request, body: bytes = b"") -> Answer:
         """Carries out a complete request; an unknown one is refused and changes nothing."""
@@ -232,7 +233,7 @@
         """Stops listening and aborts all connections."""
         if self._server:
             self._server.close()
-        if self._sweep_timer:
-            self._sweep_timer.cancel()
+        if self._sweeping:
+            self._sweeping.stop()
         for connection in [*self._connections]:
             connection.abort()
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -29,6 +29,7 @@
 from birchstack.net.operators import Answer, Metrics, OperatorServer
 from birchstack.net.operators import Handlers as OperatorHandlers
 from birchstack.net.overflow import OpenedStore, Overflow, StoreFactory, keep_behind_others
+from birchstack.net.periodic import PeriodicTask, run_isolated
 from birchstack.net.recollection import StoredEndpointStates
 from birchstack.net.room import divide_descriptors, limit_to_descriptors
 from birchstack.net.tally import Tally
@@ -164,10 +165,11 @@
         self._recover(self._ledger.entries)
         self._turn()
         await self._client_server.open(self._machine, self._config.listen)
-        self._end_overdue()
-        self._loop.call_later(STATE_LOG_INTERVAL_S, self._log_state)
+        PeriodicTask(self._loop, OVERDUE_CHECK_S, self._end_overdue)
+        PeriodicTask(self._loop, STATE_LOG_INTERVAL_S, self._log_state)
         if self._audit and self._audit.signals_live() is not None:
-            self._check_signals()
+            self._update_signals()
+            PeriodicTask(self._loop, SIGNAL_CHECK_S, self._update_signals)
         self._ready = True
         self._loop.call_later(LOCK_CHECK_S, self._check_lock)
         log_event(
@@ -402,7 +404,7 @@
             self._guarded(self._submit_claimed, now, owed)
         for handler, *arguments in events:
             if handler == self._accept:
-                self._accept(now, *arguments)
+                run_isolated(self._accept, now, *arguments)
             else:
                 self._guarded(handler, now, *arguments)
         if self._overflow and self._closing_at is None:
@@ -441,7 +443,6 @@
             self._end_with_notice(owed.id, "dead", 0.0)
             self._enqueue(self._core.withdrawn, owed.id)
             check_invariant(False, "a document ends before its expiry")
-        self._loop.call_later(OVERDUE_CHECK_S, self._end_overdue)
 
     def _accept(self, now: float, request: ClientRequest) -> None:
         """Answers a submission that needs no decision, or submits the document to the decision logic."""
@@ -588,7 +589,6 @@
             broken=dict(violations),
             untried=dict(self._tally.untried),
         )
-        self._loop.call_later(STATE_LOG_INTERVAL_S, self._log_state)
 
     # Requests of the decision logic (interface.Host)
 
@@ -679,10 +679,6 @@
                 self._ledger.record_wait(report.endpoint, self._lasting.ms() + report.wait_ms)
             self._enqueue(self._core.report_received, report)
 
-    def _check_signals(self) -> None:
-        self._update_signals()
-        self._loop.call_later(SIGNAL_CHECK_S, self._check_signals)
-
     def _update_signals(self) -> None:
         """Tells the decision logic when signals of other senders begin or cease to arrive."""
         live = bool(self._audit.signals_live())
@@ -778,6 +774,9 @@
         self._closing_at = self._loop.time()
         self._handover.closing = True
         self._handing_over = self._holds_lock and self._ledger.has_standby()
+        accept_s = 0.0 if self._handing_over else ACCEPT_CLIENTS_S
+        self._loop.call_later(accept_s, self._client_server.stop_listening)
+        self._loop.call_later(accept_s, self._check_closed)
         log_event(
             log,
             "closing",
@@ -786,10 +785,6 @@
             handing=self._handing_over,
         )
         self._client_server.close()
-        self._loop.call_later(
-            0.0 if self._handing_over else ACCEPT_CLIENTS_S, self._client_server.stop_listening
-        )
-        self._loop.call_later(0.0 if self._handing_over else ACCEPT_CLIENTS_S, self._check_closed)
 
     def _check_closed(self) -> None:
         """Ends the process once nothing is in flight, or its time for shutdown is over.
@@ -807,7 +802,7 @@
         if busy and elapsed_s < FINISH_CALLS_S:
             self._loop.call_later(0.05, self._check_closed)
             return
-        self._ledger.save_lost_records()
+        run_isolated(self._ledger.save_lost_records)
         log_event(
             log,
             "closed",
@@ -816,11 +811,11 @@
             broken=dict(violations),
             untried=dict(self._tally.untried),
         )
-        self._watch.stop()
-        self._calls.close()
+        run_isolated(self._watch.stop)
+        run_isolated(self._calls.close)
         for each in filter(None, (self._overflow, self._door)):
-            each.close()
+            run_isolated(each.close)
         if self._audit:
-            self._audit.stop()
+            run_isolated(self._audit.stop)
         if not self.ended.done():
             self.ended.set_result(None)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -15,7 +15,7 @@
 from test_crossings import InProcessWorld, client_server, until  # noqa: F401
 
 from birchstack import interface
-from birchstack.net import driver
+from birchstack.net import driver, periodic
 from birchstack.net.calls import Call, Calls
 from birchstack.net.reuse import SETTLE_MS
 
@@ -327,3 +327,39 @@
         assert len(world.calls) == len({call[0] for call in world.calls}) and not world.notices
 
     play(tmp_path, story, changes={"settings__limits__maxOpen": 1000})
+
+
+# shutdown() on a connection that its client had just reset raised an exception: it ended the sweep and the
+# shutdown of the process, and others were never closed
+def test_a_reset_just_before_the_close_stops_the_shutdown(client_server):  # noqa: F811
+    clients = [client_server.client() for _ in range(3)]
+    for number, each in enumerate(clients):
+        each.sendall(post(f"d{number}"))
+    client_server.turn()
+
+    def close_after_a_reset():
+        reset(clients[0])
+        client_server.close()
+
+    client_server.turn(close_after_a_reset)
+    for each in clients[1:]:
+        assert each.recv(99999).startswith(b"HTTP/1.1 202") and each.recv(99999) == b""
+        each.close()
+    client_server.turn()
+    assert not len(client_server) and not client_server._leaving
+
+
+def test_a_periodic_task_goes_on_after_an_exception(monkeypatch, caplog):
+    async def whole():
+        def fail():
+            called.append(1)
+            raise ZeroDivisionError
+
+        called, wrong = [], []
+        monkeypatch.setattr(periodic, "check_invariant", lambda condition, what: wrong.append(what))
+        task = periodic.PeriodicTask(asyncio.get_running_loop(), 0.01, fail)
+        await until(lambda: len(called) == 3)
+        task.stop()
+        assert len(wrong) == 3 and "ZeroDivisionError" in caplog.text
+
+    asyncio.run(whole())
