What incomplete requests and held documents take keeps to a share of memory_mb

What callers saw: with hundreds of clients that stopped in the middle of a large request, or sent heads of very many fields, the process passed its memory limit and was killed; every answer that it owed was late or lost. Cause: limits.memory_mb was read nowhere. Each of 409 connections could hold 16 KiB of head, a body of 64 KiB as a list of its chunks (two bytes took some fifty) and, for a GET, all header fields of its head until the body was complete; 64 KiB were read from each in a pass. Fix: net/memory.py divides what memory_mb (192 where it is not given) leaves after the start: incomplete requests 30 percent, held documents 45, bodies counted in memory and on disk. Beyond the first, connections that have been silent the longest get 503; beyond the second a document is refused as on a full disk. A body is one buffer, a head keeps what is needed, messages and trailers have 128 fields at most, and 8 KiB are read from a client at once. The same for the operators' connections. Requests and their fields have a module of their own (net/submission.py).

--- a/birchstack/net/config.py
+++ b/birchstack/net/config.py
@@ -19,6 +19,7 @@
 DEFAULTS = {
     "limits.sockets": 1024,
     "limits.disk_mb": 3,
+    "limits.memory_mb": 192,
     "settings.limits.connIdleMs": 10000.0,
     "settings.limits.dialTimeoutMs": 1000.0,
 }
@@ -64,6 +65,7 @@
     seed: int
     sockets: int  # file descriptors that the process may hold
     disk_bytes: int
+    memory_bytes: int  # that the process may use
     idle_ms: float  # time after which endpoints close an idle connection
     dial_ms: float  # time-out for establishing a connection
     kinds: tuple[str, ...]
@@ -197,6 +199,7 @@
         seed=_seed(str(raw.get("seed") or "0")),
         sockets=int(_lookup(raw, "limits.sockets", number)),
         disk_bytes=int(_lookup(raw, "limits.disk_mb", number) * 1_000_000),
+        memory_bytes=int(_lookup(raw, "limits.memory_mb", number) * 1_000_000),
         idle_ms=float(_lookup(raw, "settings.limits.connIdleMs", number)),
         dial_ms=float(_lookup(raw, "settings.limits.dialTimeoutMs", number)),
         kinds=tuple(raw_settings.get("hostTypes") or ()),
--- a/birchstack/net/driver.py
+++ b/birchstack/net/driver.py
@@ -64,13 +64,18 @@
 
 
 class Link(asyncio.BufferedProtocol):
-    """One connection. unsent: whether written bytes still wait to be taken by the kernel."""
+    """One connection.
+
+    unsent: whether written bytes still wait to be taken by the kernel; max_read_bytes: how many bytes are
+    read at once. The others wait in the kernel.
+    """
 
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
         self._transport: asyncio.Transport | None = None
         self._socket_info = NO_SOCKET_INFO
         self.unsent = False
+        self.max_read_bytes = len(READ_BUFFER)
         self.closed = False
         self._on_closed: Callable[[], None] | None = None
         self._discarded_bytes = 0
@@ -92,7 +97,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read."""
-        return READ_BUFFER
+        return READ_BUFFER[: self.max_read_bytes]
 
     def buffer_updated(self, count: int) -> None:
         """Passes bytes to the owner; after finish() they are discarded, up to a limit."""
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -19,112 +19,30 @@
 from birchstack.net.machine import Listener, Machine
 from birchstack.net.periodic import PeriodicTask, run_isolated
 from birchstack.net.room import max_accepting
+from birchstack.net.submission import CLIENT_TIMEOUT_MS, ClientRequest, InvalidRequestError
 
-# Verdicts on a submitted document
-ACCEPTED = "accepted"
-REJECTED = "rejected"
-UNAVAILABLE = "unavailable"  # no document is accepted at present
-ABANDONED = "abandoned"
-STATUS = {ACCEPTED: 202, REJECTED: 429, UNAVAILABLE: 503, ABANDONED: 500}
-CLIENT_TIMEOUT_MS = 400.0  # a client waits this long for its answer
 READY_PATHS = ("/up", "/alive")
+MAX_READ_BYTES = 8192  # read at once from a client; what it sends beyond waits in the kernel
+UNLIMITED_BYTES = 1 << 62
 REQUEST_TIMEOUT_S = 2.0  # a request must be complete this long after its connection or its first byte
 IDLE_TIMEOUT_S = 3.0  # a connection without a request is closed after this long
 SWEEP_INTERVAL_S = 0.25
 QUIET_PASSES = 3  # passes of the event loop without a new connection, before the listener is closed
 MAX_UNANSWERED = 8  # requests that may wait for their answer on one connection
-EXCESS_TIMEOUT_MS = 1000.0  # a document's time-out may exceed the expiry of its type by this much
-ID_PATTERN = re.compile("[0-9A-Za-z._~:+/=@-]{1,128}")
-NUMBER_PATTERN = re.compile("[0-9]{1,9}")
-TEXT_PATTERN = re.compile("[ -~]{1,128}")  # an ordering key, an idempotency key or a tenant's name
 FIRST_LOGGED = 3  # incidents of a kind that are logged, before only each WARNING_INTERVAL-th is
 WARNING_INTERVAL = 1000
 METRIC_GAP = re.compile("[^a-z]+")  # in the name of an incident, replaced in that of its metric
 log = logging.getLogger(__name__)
 
 
-class InvalidRequestError(Exception):
-    """The request cannot be a document; names the part at fault, and carries the status of the answer."""
-
-    def __init__(self, part: str, status: int = 400) -> None:
-        super().__init__(part)
-        self.status = status
-
-
-def _parse_pairs(text: str, separator: str) -> dict[str, str]:
-    """Parses name=value pairs; a name may occur only once."""
-    pairs = [pair.strip().partition("=")[::2] for pair in text.split(separator)]
-    if len({name for name, _ in pairs}) < len(pairs):
-        raise InvalidRequestError("duplicate name in X-Consignee or Cookie")
-    return dict(pairs)
-
-
-class ClientRequest:
-    """One document as a client submitted it, validated before its body arrives, and the way to answer it."""
-
-    __slots__ = (
-        "id",
-        "type",
-        "destination",
-        "key",
-        "repeat_key",
-        "tenant",
-        "remaining_ms",
-        "body",
-        "keep_alive",
-        "_client",
-        "answer",
-        "duplicates",
-        "_sent_at",
-    )
-
-    def __init__(self, client: ClientConnection, head: http1.Request, server: ClientServer) -> None:
-        fields = head.fields
-        self._client = client
-        self.body = b""
-        self.answer = None
+class ReadinessCheck:
+    """A request other than a document whose body has still to come."""
+
+    __slots__ = ("path", "keep_alive")
+
+    def __init__(self, head: http1.Request) -> None:
+        self.path = head.path
         self.keep_alive = head.keep_alive
-        self.duplicates: list[ClientRequest] = []  # the same document, submitted over other connections
-        self._sent_at = client.request_began
-        self.type = head.path[1:].partition("/")[0]
-        if self.type not in server.types:
-            raise InvalidRequestError("document type", 404)
-        self.id = fields.get("request-id", "")
-        if not ID_PATTERN.fullmatch(self.id):
-            raise InvalidRequestError("Request-Id")
-        timeout = fields.get("request-timeout-ms", "")
-        if (
-            not NUMBER_PATTERN.fullmatch(timeout)
-            or int(timeout) > server.types[self.type] + EXCESS_TIMEOUT_MS
-        ):
-            raise InvalidRequestError("Request-Timeout-Ms")
-        self.remaining_ms = float(timeout)
-        destination = _parse_pairs(fields.get("x-consignee", "").replace(";", ","), ",").get("dest", "")
-        if not NUMBER_PATTERN.fullmatch(destination):
-            raise InvalidRequestError("X-Consignee")
-        self.destination = int(destination)
-        if not server.serves(self.destination):
-            raise InvalidRequestError("destination", 404)
-        self.key = _parse_pairs(fields["cookie"], ";").get("thread") or None if "cookie" in fields else None
-        self.repeat_key = fields.get("idempotency-key") or None
-        self.tenant = fields.get("tenant") or None
-        if not all(TEXT_PATTERN.fullmatch(text) for text in (self.key, self.repeat_key, self.tenant) if text):
-            raise InvalidRequestError("thread, Idempotency-Key or Tenant")
-
-    def age_and_gone(self) -> tuple[float, bool]:
-        """How long ago the client sent it, in ms as far as is known, and whether the client has gone."""
-        if self._client.gone:
-            return 0.0, True
-        quiet_ms, gone = self._client.link.receive_state()
-        return quiet_ms + self._client.since_ms(self._sent_at), gone or quiet_ms >= CLIENT_TIMEOUT_MS
-
-    def reply(self, verdict: str, wait_ms: float = 0.0, close: bool = False) -> None:
-        """Answers the client by a verdict (a key of STATUS); wait_ms becomes its Retry-After."""
-        fields = {"Retry-After": f"{wait_ms / 1000.0:g}"} if wait_ms > 0.0 else {}
-        self.answer = http1.response(STATUS[verdict], fields, close)
-        self._client.flush(close)
-        for each in self.duplicates:
-            each.reply(verdict, wait_ms, close)
 
 
 class ImmediateAnswer:
@@ -148,8 +66,9 @@
         self._server = server
         self._reader = http1.RequestReader()
         self.link: Link | None = None
-        self._head: http1.Request | ClientRequest | None = None
-        self._body: list[bytes] = []
+        self._head: ReadinessCheck | ClientRequest | None = None  # of the request that is being read
+        self._body = bytearray()
+        self.held_bytes = 0  # of requests that are not complete, as counted by the server
         self._responses: deque[ClientRequest | ImmediateAnswer] = deque()  # in the order of the requests
         self.gone = False
         self._last_request = False  # no further request is read
@@ -177,6 +96,7 @@
     def opened(self, link: Link) -> None:
         """Registers the connection, and starts the time-out of its first request."""
         self.link = link
+        link.max_read_bytes = MAX_READ_BYTES
         self.request_began = self._server.time()
         self.due = self.request_began + REQUEST_TIMEOUT_S
         self._server.register(self)
@@ -184,8 +104,17 @@
     def lost(self) -> None:
         """Unregisters the connection."""
         self.gone = True
+        self._stop_reading()
         self._server.unregister(self)
 
+    def _stop_reading(self) -> None:
+        """Reads no further request, and frees what is held of an incomplete one."""
+        self._last_request = True
+        self._reader.discard()
+        self._head = None
+        self._body = bytearray()
+        self._server.hold(self, 0)
+
     def since_ms(self, moment: float) -> float:
         """Milliseconds since a time of the loop."""
         return (self._server.time() - moment) * 1000.0
@@ -207,21 +136,22 @@
                 if isinstance(event, http1.Request):
                     self._on_head(event)
                 elif event is not http1.END:
-                    self._body.append(event)
+                    self._body += event
                 else:
                     self._on_request()
                 if self._last_request:
                     break
         except http1.MalformedError as problem:
             self._respond(problem.status, str(problem), close=True)
+        if not self._last_request:
+            self._server.hold(self, self._reader.held_bytes + len(self._body))
+            self._server.bound_requests()
         if not self.gone and self.link.unsent:  # it sends requests and does not read the answers
             self._server.count("slow reader closed")
             self.drop("slow reader")
 
     def _on_head(self, head: http1.Request) -> None:
         """Validates a request before its body arrives: one that is not valid is answered at once."""
-        self._head = head
-        self._body = []
         if len(self._responses) >= MAX_UNANSWERED:
             self._respond(503, "too many unanswered requests", close=True)
         elif head.method == "POST":
@@ -232,18 +162,21 @@
                 return
             if head.fields.get("expect", "").lower() == "100-continue" and not self._responses:
                 self.link.write(http1.CONTINUE)
-        elif head.method != "GET":
+        elif head.method == "GET":
+            self._head = ReadinessCheck(head)
+        else:
             self._respond(405, close=True)
 
     def _on_request(self) -> None:
         """Passes a complete document on, or answers a readiness check."""
-        request = self._head
+        request, body = self._head, self._body
         self._head = None
+        self._body = bytearray()
         self.has_requested = True
         if isinstance(request, ClientRequest):
-            request.body = b"".join(self._body)
-            self._body = []
-            self._last_request = not request.keep_alive or self._server.ending
+            request.body = bytes(body)
+            if not request.keep_alive or self._server.ending:
+                self._stop_reading()
             self._responses.append(request)
             self._server.on_document(request)
         elif request.path not in READY_PATHS:
@@ -261,7 +194,8 @@
 
     def flush(self, close: bool = False) -> None:
         """Writes the answers that are known, up to the first that is not; close: reads no further request."""
-        self._last_request = self._last_request or close
+        if close:
+            self._stop_reading()
         while self._responses and self._responses[0].answer is not None:
             self.link.write(self._responses.popleft().answer)
         if not self._responses:
@@ -288,6 +222,7 @@
         if self.link and not self.gone:
             log_debug(log, "client connection reset", reason=reason)
             self.gone = True
+            self._stop_reading()
             self._server.unregister(self)
             self.link.abort()
 
@@ -296,7 +231,8 @@
     """The listener for clients, and their connections.
 
     on_document(request) is called for each document once its last byte was read; serves(destination) tells
-    whether a destination is known; types: the expiry in ms by document type.
+    whether a destination is known; types: the expiry in ms by document type; max_request_bytes: what
+    incomplete requests may hold together.
     """
 
     def __init__(
@@ -306,12 +242,15 @@
         max_clients: int,
         serves: Callable[[int], bool],
         on_document: Callable[[ClientRequest], None],
+        max_request_bytes: int = UNLIMITED_BYTES,
     ) -> None:
         self._loop = loop
         self.types = types
         self._max_clients = max_clients
         self.serves = serves
         self.on_document = on_document
+        self._max_request_bytes = max_request_bytes
+        self._request_bytes = 0  # held of incomplete requests
         self._clients: dict[ClientConnection, None] = {}  # least recently active first
         self._leaving: dict[Link, None] = {}  # sent their last answer, not closed yet
         self._listener: Listener | None = None
@@ -353,6 +292,7 @@
         return [
             ("clients", len(self._clients)),
             ("clients.closing", len(self._leaving)),
+            ("clients.incomplete_bytes", self._request_bytes),
             *(
                 (f"clients.{METRIC_GAP.sub('_', what.lower())}", count)
                 for what, count in sorted(self.counts.items())
@@ -403,6 +343,19 @@
         self._leaving[client.link] = None
         client.link.finish(lambda: self._leaving.pop(client.link, None))
 
+    def hold(self, client: ClientConnection, count: int) -> None:
+        """Counts what a connection holds of incomplete requests."""
+        self._request_bytes += count - client.held_bytes
+        client.held_bytes = count
+
+    def bound_requests(self) -> None:
+        """Refuses incomplete requests while all of them hold too much.
+
+        Those go first that have been silent the longest: a client that sends on is done soon."""
+        while self._request_bytes > self._max_request_bytes:
+            self.count("too much of incomplete requests")
+            next(each for each in self._clients if each.held_bytes).refuse()
+
     def touch(self, client: ClientConnection) -> None:
         """Marks a registered connection as the most recently active."""
         if self._clients.pop(client, self) is None:
--- a/birchstack/net/http1.py
+++ b/birchstack/net/http1.py
@@ -13,6 +13,7 @@
 MAX_HEAD = 16384  # bytes
 MAX_BODY = 65536  # bytes
 MAX_LINE = 256  # bytes, of a chunk's size line and of a trailer line
+MAX_FIELDS = 128  # header fields of a message, and its trailer fields
 MAX_INTERIM_RESPONSES = 32  # 1xx responses before the final one
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 END = None  # the event at the end of a message
@@ -92,34 +93,54 @@
 class MessageReader:
     """Parses a stream of messages: feed() returns a head, pieces of its body and END for each of them.
 
-    _state is the method that parses the next bytes. It appends events to a list, and returns whether to go on
-    with the bytes that are left.
+    _state is the function that parses the next bytes. It appends events to a list, and returns whether to go
+    on with the bytes that are left. It is not a bound method, which would make the reader a reference cycle.
     """
 
     def __init__(self, max_body: int | None = MAX_BODY) -> None:
         self._buffer = bytearray()
-        self._state = self._start
+        self._state = type(self)._start
+        self.pending = False  # whether step() may find more without more bytes
         self._max_body = max_body
         self._remaining = 0  # bytes of the body or of the chunk
         self._body_size = 0  # announced so far, for the limit
+        self._trailer_fields = 0
+
+    def append(self, data: bytes | memoryview) -> None:
+        """Adds bytes, for step()."""
+        self._buffer += data
+        self.pending = True
+
+    def step(self) -> list:
+        """Parses the next part of a message: a head, a piece of a body, or a line. Returns its events."""
+        events: list = []
+        self.pending = self._state(self, events)
+        return events
 
     def feed(self, data: bytes | memoryview) -> Iterator:
         """Parses more bytes. Each event is returned before the bytes after it are looked at."""
-        self._buffer += data
-        more = True
-        while more:
-            events: list = []
-            more = self._state(events)
-            yield from events
+        self.append(data)
+        while self.pending:
+            yield from self.step()
+
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that are held and not parsed yet."""
+        return len(self._buffer)
+
+    def discard(self) -> None:
+        """Frees what is held; nothing more is read."""
+        self._buffer = bytearray()
+        self.pending = False
 
     @property
     def between_messages(self) -> bool:
         """True if no byte of an incomplete message is held."""
-        return self._state == self._start and not self._buffer
+        return self._state is type(self)._start and not self._buffer
 
     def complete_at_end(self) -> bool:
         """True if the end of the stream would complete a message without a declared length."""
-        return self._state == self._read_until_end
+        return self._state is type(self)._read_until_end
 
     def _read_line(self, max_bytes: int) -> str | None:
         at = self._buffer.find(b"\r\n", 0, max_bytes + 2)
@@ -140,12 +161,17 @@
         if at < 0:
             if len(self._buffer) > MAX_HEAD:
                 raise MalformedError("head too long", 431)
-            if self._buffer.count(b"\n") != self._buffer.count(b"\r\n"):
+            lines_so_far = self._buffer.count(b"\n")
+            if lines_so_far != self._buffer.count(b"\r\n"):
                 raise MalformedError("bare line feed")
+            if lines_so_far > MAX_FIELDS + 1:
+                raise MalformedError("too many header fields", 431)
             return False
+        if self._buffer.count(b"\r\n", 0, at) > MAX_FIELDS:
+            raise MalformedError("too many header fields", 431)
         first, *lines = self._buffer[:at].decode("latin-1").split("\r\n")
         del self._buffer[: at + 4]
-        self._state = self._start
+        self._state = type(self)._start
         self._on_head(first, _parse_fields(lines), events)
         return True
 
@@ -160,19 +186,19 @@
     def _start_body(self, fields: dict[str, str], else_until_end: bool, events: list) -> None:
         """Chooses how the body is read; else_until_end: without a declared length it ends with the stream."""
         coding, length = fields.get("transfer-encoding"), fields.get("content-length")
-        self._body_size = 0
+        self._body_size = self._trailer_fields = 0
         if coding is not None:
             if length is not None:
                 raise MalformedError("both Content-Length and Transfer-Encoding")
             if coding.lower() != "chunked":
                 raise MalformedError("transfer coding not supported", 501)
-            self._state = self._read_chunk_size
+            self._state = type(self)._read_chunk_size
         elif length is not None or not else_until_end:
             self._remaining = _parse_length(length) if length is not None else 0
             self._check_body_size(self._remaining)
-            self._state = self._read_fixed_length
+            self._state = type(self)._read_fixed_length
         else:
-            self._state = self._read_until_end
+            self._state = type(self)._read_until_end
 
     def _check_body_size(self, more: int) -> None:
         self._body_size += more
@@ -189,7 +215,7 @@
         self._take_body(events)
         if self._remaining:
             return False
-        self._state = self._start
+        self._state = type(self)._start
         events.append(END)
         return bool(self._buffer)
 
@@ -199,7 +225,7 @@
             return False
         self._remaining = _parse_length(line.partition(";")[0].strip(), 16)
         self._check_body_size(self._remaining)
-        self._state = self._read_chunk if self._remaining else self._read_trailer
+        self._state = type(self)._read_chunk if self._remaining else type(self)._read_trailer
         return True
 
     def _read_chunk(self, events: list) -> bool:
@@ -209,7 +235,7 @@
         if self._buffer[:2] != b"\r\n":
             raise MalformedError("chunk not terminated by CRLF")
         del self._buffer[:2]
-        self._state = self._read_chunk_size
+        self._state = type(self)._read_chunk_size
         return True
 
     def _read_trailer(self, events: list) -> bool:
@@ -217,10 +243,13 @@
         if line is None:
             return False
         if line:
+            self._trailer_fields += 1
+            if self._trailer_fields > MAX_FIELDS:
+                raise MalformedError("too many trailer fields", 413)
             _parse_fields([line])
             self._check_body_size(len(line))
         else:
-            self._state = self._start
+            self._state = type(self)._start
             events.append(END)
         return bool(self._buffer)
 
@@ -245,7 +274,7 @@
             return False
         if not REQUEST_LINE_START.match(self._buffer):
             raise MalformedError("invalid request line")
-        self._state = self._read_head
+        self._state = type(self)._read_head
         return True
 
     def _on_head(self, first: str, fields: dict[str, str], events: list) -> None:
@@ -281,7 +310,7 @@
         status = int(line[2])
         if status >= 200:
             self.status = status
-        self._state = self._read_head
+        self._state = type(self)._read_head
         return True
 
     def _on_head(self, first: str, fields: dict[str, str], events: list) -> None:
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -35,6 +35,8 @@
 BLOCK_BYTES = 512
 RECORD_RESERVE_BYTES = 512  # space reserved per document for records that are still to be written
 COMPACT_MIN_BYTES = 131072  # smaller files are not compacted
+DOCUMENT_MEMORY_BYTES = 2600  # of a document in memory, and of its records, as files may count as memory
+UNLIMITED_BYTES = 1 << 62
 MAX_WAITS = 256  # endpoint waits kept; the oldest are evicted
 log = logging.getLogger(__name__)
 
@@ -53,9 +55,12 @@
         limit: int,
         standby_name: str = "",
         divert: Callable[[LedgerEntry], bool] = lambda entry: False,
+        max_memory_bytes: int = UNLIMITED_BYTES,
     ) -> None:
         """Opens the ledger in `folder` with at most `limit` bytes.
 
+        max_memory_bytes: beyond it there is no space for another document.
+
         standby_name: set on a standby process, while another process holds the state folder and sends. It is
         a name in hexadecimal digits that no other process has ever used. divert(entry): returns True if a
         document of a standby process is held elsewhere, or was put there now; raises OSError if it could not.
@@ -74,6 +79,7 @@
         self._unclaimed: dict[str, LedgerEntry] = {}  # accepted by them, not taken over yet
         self._holder: LedgerFollower | None = None  # on a standby process
         self.claimed_at_start: set[str] = set()  # documents of standby processes that are alive
+        self._max_memory_bytes = max_memory_bytes
         self._limit = limit - 4 * 4096  # the folder's own directory blocks may count
         self.entries: dict[str, LedgerEntry] = {}
         self.ended: dict[str, None] = {}  # finished before the start, but still recorded in the file
@@ -106,6 +112,11 @@
             + self.remembered.record_bytes
         )
         bodies = self._body_bytes + sum(map(round_up_to_blocks, sizes))
+        memory = (
+            DOCUMENT_MEMORY_BYTES * (len(self.entries) + len(sizes)) + 2 * bodies
+        )  # in memory and on disk
+        if memory > self._max_memory_bytes:
+            return False
         # The current file and the one that a compaction writes beside it
         return (
             bodies + round_up_to_blocks(2 * records) + round_up_to_blocks(records) + COMPACT_MIN_BYTES
--- a/birchstack/net/operators.py
+++ b/birchstack/net/operators.py
@@ -11,7 +11,7 @@
 import logging
 import urllib.parse
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from birchstack.net import http1
 from birchstack.net.driver import Link
@@ -23,6 +23,7 @@
 SWEEP_INTERVAL_S = 0.25
 MAX_CONNECTIONS = 64  # connections at once; the oldest is closed for a new one
 MAX_ACCEPTING = 2  # connections that are being accepted at once
+MAX_READ_BYTES = 4096  # read at once from a connection
 MAX_BODY_BYTES = 4096  # bytes in the body of a request at most
 METRIC_PREFIX = "balancer"  # of the metrics' names
 # Sent by keepers, if BALANCER_FLEET is set
@@ -116,6 +117,7 @@
     def opened(self, link: Link) -> None:
         """Called when the connection is accepted."""
         self.link = link
+        link.max_read_bytes = MAX_READ_BYTES
         self._server.register(self)
 
     def received(self, data: memoryview) -> None:
@@ -125,7 +127,7 @@
         try:
             for event in self._reader.feed(data):
                 if isinstance(event, http1.Request):
-                    self._head = event
+                    self._head = replace(event, fields={})  # which no call of an operator needs
                 elif event is http1.END:
                     self._respond(self._server.answer(self._head, bytes(self._body)))
                     return
--- a/birchstack/net/overflow.py
+++ b/birchstack/net/overflow.py
@@ -17,10 +17,10 @@
 from typing import NamedTuple, Protocol
 
 from birchstack.decide import CALL_MS, Sender
-from birchstack.net.front import ACCEPTED, REJECTED, UNAVAILABLE, ClientRequest
 from birchstack.net.ledger import Ledger, LedgerEntry
 from birchstack.net.log import log_event
 from birchstack.net.machine import Folder
+from birchstack.net.submission import ACCEPTED, REJECTED, UNAVAILABLE, ClientRequest
 
 MAX_DESTINATIONS = 16  # read in one turn
 MAX_READ = 32  # documents read of each of them
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -19,12 +19,13 @@
 from birchstack.net.calls import Call, Calls
 from birchstack.net.config import Config, ConfigError, apply_reload, check_applicable, load
 from birchstack.net.discovery import Watch
-from birchstack.net.front import ABANDONED, ACCEPTED, REJECTED, UNAVAILABLE, ClientRequest, ClientServer
+from birchstack.net.front import ClientServer
 from birchstack.net.handover import CLAIM_MARGIN_MS, EXCHANGE_S, LOCK_NAME, Handover
 from birchstack.net.ledger import Ledger, LedgerEntry
 from birchstack.net.listed import EndpointList
 from birchstack.net.log import check_invariant, log_debug, log_event, violations
 from birchstack.net.machine import Machine, PersistentClock
+from birchstack.net.memory import divide_memory
 from birchstack.net.notices import Notices
 from birchstack.net.operators import Answer, Metrics, OperatorServer
 from birchstack.net.operators import Handlers as OperatorHandlers
@@ -32,6 +33,7 @@
 from birchstack.net.periodic import PeriodicTask, run_isolated
 from birchstack.net.recollection import StoredEndpointStates
 from birchstack.net.room import divide_descriptors, limit_to_descriptors
+from birchstack.net.submission import ABANDONED, ACCEPTED, REJECTED, UNAVAILABLE, ClientRequest
 from birchstack.net.tally import Tally
 from birchstack.net.vitals import Vitals
 
@@ -74,12 +76,9 @@
         self._overflow: Overflow | None = (
             None  # backlog of documents beyond a destination's window, if configured
         )
-        self._ledger = Ledger(
-            folder,
-            config.disk_bytes,
-            "" if self._holds_lock else self._machine.unique_name(),
-            divert=self._divert_to_store,
-        )
+        shares = divide_descriptors(config.sockets, config.settings.slots)
+        self._memory = divide_memory(config.memory_bytes, self._machine.memory_bytes(), shares.clients)
+        self._ledger = self._open_ledger("" if self._holds_lock else self._machine.unique_name())
         self._handover = Handover(
             folder,
             loop,
@@ -90,7 +89,6 @@
             lambda doc_id: self._enqueue(self._core.withdrawn, doc_id),
             self._end_with_notice,
         )
-        shares = divide_descriptors(config.sockets, config.settings.slots)
         self._calls = Calls(
             loop,
             self.clock,
@@ -104,7 +102,7 @@
         types = {kind.name: kind.expiry_ms for kind in config.settings.types}
         self._list = EndpointList(self._calls)
         self._client_server = ClientServer(
-            loop, types, shares.clients, self._list.is_known, self._on_document
+            loop, types, shares.clients, self._list.is_known, self._on_document, self._memory.requests
         )
         self._watch = Watch(
             loop,
@@ -203,6 +201,15 @@
                 self._schedule_turn,
             )
 
+    def _open_ledger(self, standby_name: str = "") -> Ledger:
+        return Ledger(
+            self._folder,
+            self._config.disk_bytes,
+            standby_name,
+            self._divert_to_store,
+            self._memory.documents,
+        )
+
     def _open_store(self) -> OpenedStore:
         """Returns the backlog on disk, opened if it is not yet."""
         if self._opened_store is None:
@@ -277,7 +284,7 @@
     def _take_folder_over(self) -> None:
         self._turn()  # events so far belong in the ledger of the wait
         self._ledger.close()
-        self._ledger = Ledger(self._folder, self._config.disk_bytes, divert=self._divert_to_store)
+        self._ledger = self._open_ledger()
         self._core = Sender(self._config.settings, self._config.seed, self)
         self._holds_lock = True
         self._handover.hold_folder(self._ledger)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -19,7 +19,7 @@
 from birchstack import decide, interface, settings, state
 from birchstack.emulator.scenario import KINDS, Cold, DocumentType, Group, Scenario, SenderSide, draw
 from birchstack.emulator.virtual import play
-from birchstack.net import calls, discovery, front, ledger, notices, sender
+from birchstack.net import calls, discovery, front, ledger, notices, sender, submission
 
 DAY = Scenario(seconds=25.0)
 TIGHT = msgspec.structs.replace(DAY, sender=SenderSide(slots=8, max_transmissions=4))
@@ -79,7 +79,7 @@
 
     def settle(self, now):
         for request in self._pending.values():
-            request.reply(front.ACCEPTED)
+            request.reply(submission.ACCEPTED)
         old(self, now)
 
     patch.set(sender.Node, "_commit", settle)
@@ -277,12 +277,12 @@
 
 @mutant("clients are answered half a second late")
 def _(patch):
-    old = front.ClientRequest.reply
+    old = submission.ClientRequest.reply
 
     def reply(self, *arguments, **keywords):
         self._client._server._loop.call_later(0.5, functools.partial(old, self, *arguments, **keywords))
 
-    patch.set(front.ClientRequest, "reply", reply)
+    patch.set(submission.ClientRequest, "reply", reply)
 
 
 @mutant("retries cost nothing and have no bound")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,8 +10,8 @@
 from birchstack import interface
 from birchstack.net import sender as module
 from birchstack.net.config import decode
-from birchstack.net.front import ACCEPTED, UNAVAILABLE
 from birchstack.net.ledger import Ledger
+from birchstack.net.submission import ACCEPTED, UNAVAILABLE
 
 
 class FakeRequest:
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -7,10 +7,10 @@
 from test_node import FakeRequest, node  # noqa: F401  (node is a fixture)
 
 from birchstack.net.ended import EndedDocuments
-from birchstack.net.front import ACCEPTED, REJECTED
 from birchstack.net.ledger import Ledger
 from birchstack.net.ledger_records import encode
 from birchstack.net.machine import Folder
+from birchstack.net.submission import ACCEPTED, REJECTED
 
 REFUSED = 5000  # more than the refusals that a sender remembers
 LIMIT = 3_000_000
