--- a/birchstack/__main__.py
+++ b/birchstack/__main__.py
@@ -1,5 +1,9 @@
 """python -m birchstack: runs one sender, configured by the file that BALANCER_CONFIG names."""
 
+# isort: off
+from birchstack.net import no_openssl  # noqa: F401
+
+# isort: on
 import asyncio
 import dataclasses
 import gc
