Connections that send at full speed are parsed in slices, in turn with all others

What callers saw: beside 16 connections that sent readiness checks, chunks of a byte or many fields at full speed a usual client waited 0.6 s to more than 2 s for its answer (one such connection: 50 to 220 ms); 450 connections with bodies in tiny chunks: no answer for 40 s. Cause: whatever a read brought, up to 64 KiB, was parsed and answered in one go, some 2,000 requests or 10,000 chunks, for each connection in each pass of the event loop. A connection parses four steps at a time, about a request; one that has more waits for its turn, 64 steps in a pass for all of them, and is not read meanwhile, so that what its client goes on sending waits in the kernel. A request's age counts from the pause then. A body has 4,096 chunks at most (413), as the price of a chunk does not depend on its size; what this process has not parsed half a second after its time gets 503. The ninth document sent without waiting for answers is refused as before. Operators' connections share a scheduler of the same kind; 4 KiB of an endpoint's answer are read at once.

--- a/birchstack/net/calls.py
+++ b/birchstack/net/calls.py
@@ -26,6 +26,7 @@
 DECIMAL = r"[0-9]{1,9}(?:\.[0-9]{0,18})?"
 LOAD_REPORT = re.compile(rf"(?:TEXT )?x0=({DECIMAL}), ?x1=({DECIMAL})")
 RESPONSE_REST_MS = 500.0  # a response must be complete this long after its status line, or it is malformed
+MAX_READ_BYTES = 4096  # read at once of a response: more would hold up other work
 IDLE_TIME_SHARE = 0.9  # of the endpoint's idle time-out: no call meets the endpoint's close
 
 
@@ -170,6 +171,7 @@
     def opened(self, link: Link) -> None:
         """Reports the call as connected."""
         self._link = link
+        link.max_read_bytes = MAX_READ_BYTES
         self._dial = None
         self._log.connection_opened(self.number, self.endpoint)
         if self._call:
--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -17,6 +17,7 @@
 from birchstack.net.driver import Link
 from birchstack.net.log import log_debug, log_event
 from birchstack.net.machine import Listener, Machine
+from birchstack.net.parsing import ParseScheduler
 from birchstack.net.periodic import PeriodicTask, run_isolated
 from birchstack.net.room import max_accepting
 from birchstack.net.submission import CLIENT_TIMEOUT_MS, ClientRequest, InvalidRequestError
@@ -25,6 +26,7 @@
 MAX_READ_BYTES = 8192  # read at once from a client; what it sends beyond waits in the kernel
 UNLIMITED_BYTES = 1 << 62
 REQUEST_TIMEOUT_S = 2.0  # a request must be complete this long after its connection or its first byte
+OVERDUE_S = 0.5  # a request that this process has not parsed yet gets so much longer
 IDLE_TIMEOUT_S = 3.0  # a connection without a request is closed after this long
 SWEEP_INTERVAL_S = 0.25
 QUIET_PASSES = 3  # passes of the event loop without a new connection, before the listener is closed
@@ -74,6 +76,9 @@
         self._last_request = False  # no further request is read
         self.has_requested = False
         self.due = self.request_began = 0.0
+        self._received_at = 0.0  # when the bytes came that are parsed, at the earliest
+        self._paused_at: float | None = None  # since when nothing is read
+        self._documents_unwaited = 0  # documents sent without waiting for the answers to those before
 
     @property
     def idle(self) -> bool:
@@ -90,6 +95,7 @@
         return (
             not self._responses
             and self.since_ms(self.request_began) > CLIENT_TIMEOUT_MS
+            and not self._reader.pending
             and not self.link.unread_bytes()
         )
 
@@ -124,23 +130,25 @@
         if self._last_request:
             return
         self._server.touch(self)
-        if self._reader.between_messages and self._head is None:
-            self.request_began = self._server.time()
-            self.due = (
-                min(self.due, self.request_began + REQUEST_TIMEOUT_S)
-                if not self.has_requested
-                else self.request_began + REQUEST_TIMEOUT_S
-            )
+        waited = self._paused_at is None and not self._responses and not self._reader.held_bytes
+        if waited:  # for the answers so far
+            self._documents_unwaited = 0
+        # What waited in the kernel while reading was paused may have come at any time since
+        self._received_at = self._server.time() if self._paused_at is None else self._paused_at
+        self._paused_at = None
+        self._reader.append(data)
+        self._server.scheduler.parse(self)
+
+    def parse(self, max_steps: int) -> None:
+        """Parses a slice of what was received."""
+        steps = 0
         try:
-            for event in self._reader.feed(data):
-                if isinstance(event, http1.Request):
-                    self._on_head(event)
-                elif event is not http1.END:
-                    self._body += event
-                else:
-                    self._on_request()
-                if self._last_request:
-                    break
+            while steps < max_steps and self.unparsed:
+                steps += 1
+                if self._reader.starting:
+                    self._begin_request()
+                for event in self._reader.step():
+                    self._on_event(event)
         except http1.MalformedError as problem:
             self._respond(problem.status, str(problem), close=True)
         if not self._last_request:
@@ -150,23 +158,52 @@
             self._server.count("slow reader closed")
             self.drop("slow reader")
 
+    @property
+    def unparsed(self) -> bool:
+        """Whether there is more to parse."""
+        return self._reader.pending and not self._last_request and not self.gone
+
+    def set_reading_paused(self, paused: bool) -> None:
+        """Pauses or resumes reading."""
+        if paused:
+            self._paused_at = self._server.time()
+        self.link.set_reading_paused(paused)
+
+    def _begin_request(self) -> None:
+        """Starts the time-out of a request."""
+        self.request_began = self._received_at
+        due = self.request_began + REQUEST_TIMEOUT_S
+        self.due = due if self.has_requested else min(self.due, due)
+
+    def _on_event(self, event: http1.Request | bytes | None) -> None:
+        if isinstance(event, http1.Request):
+            self._on_head(event)
+        elif event is not http1.END:
+            self._body += event
+        else:
+            self._on_request()
+
     def _on_head(self, head: http1.Request) -> None:
         """Validates a request before its body arrives: one that is not valid is answered at once."""
-        if len(self._responses) >= MAX_UNANSWERED:
+        if self._documents_unwaited >= MAX_UNANSWERED:
             self._respond(503, "too many unanswered requests", close=True)
         elif head.method == "POST":
-            try:
-                self._head = ClientRequest(self, head, self._server)
-            except InvalidRequestError as problem:
-                self._respond(problem.status, str(problem), close=True)
-                return
-            if head.fields.get("expect", "").lower() == "100-continue" and not self._responses:
-                self.link.write(http1.CONTINUE)
+            self._on_document_head(head)
         elif head.method == "GET":
             self._head = ReadinessCheck(head)
         else:
             self._respond(405, close=True)
 
+    def _on_document_head(self, head: http1.Request) -> None:
+        try:
+            self._head = ClientRequest(self, head, self._server)
+        except InvalidRequestError as problem:
+            self._respond(problem.status, str(problem), close=True)
+            return
+        self._documents_unwaited += 1
+        if head.fields.get("expect", "").lower() == "100-continue" and not self._responses:
+            self.link.write(http1.CONTINUE)
+
     def _on_request(self) -> None:
         """Passes a complete document on, or answers a readiness check."""
         request, body = self._head, self._body
@@ -210,7 +247,11 @@
 
     def on_deadline(self) -> None:
         """Its time is over: an idle connection is closed, and an incomplete request is answered first."""
-        if self._responses or self.link.unread_bytes():
+        if self._responses:
+            return
+        if self._reader.pending or self.link.unread_bytes():  # its bytes wait for this process
+            if self._server.time() >= self.due + OVERDUE_S:
+                self._respond(503, "not parsed in time", close=True)
             return
         if self._head is None and self._reader.between_messages:
             self.flush(close=True)  # not by a reset, which the client could not tell from a request cut off
@@ -245,6 +286,7 @@
         max_request_bytes: int = UNLIMITED_BYTES,
     ) -> None:
         self._loop = loop
+        self.scheduler = ParseScheduler(loop)
         self.types = types
         self._max_clients = max_clients
         self.serves = serves
--- a/birchstack/net/http1.py
+++ b/birchstack/net/http1.py
@@ -14,6 +14,7 @@
 MAX_BODY = 65536  # bytes
 MAX_LINE = 256  # bytes, of a chunk's size line and of a trailer line
 MAX_FIELDS = 128  # header fields of a message, and its trailer fields
+MAX_CHUNKS = 4096  # of a body whose size is limited
 MAX_INTERIM_RESPONSES = 32  # 1xx responses before the final one
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 END = None  # the event at the end of a message
@@ -104,7 +105,7 @@
         self._max_body = max_body
         self._remaining = 0  # bytes of the body or of the chunk
         self._body_size = 0  # announced so far, for the limit
-        self._trailer_fields = 0
+        self._trailer_fields = self._chunks = 0
 
     def append(self, data: bytes | memoryview) -> None:
         """Adds bytes, for step()."""
@@ -138,6 +139,11 @@
         """True if no byte of an incomplete message is held."""
         return self._state is type(self)._start and not self._buffer
 
+    @property
+    def starting(self) -> bool:
+        """True if the next step parses the first bytes of a message."""
+        return self._state is type(self)._start and bool(self._buffer)
+
     def complete_at_end(self) -> bool:
         """True if the end of the stream would complete a message without a declared length."""
         return self._state is type(self)._read_until_end
@@ -186,7 +192,7 @@
     def _start_body(self, fields: dict[str, str], else_until_end: bool, events: list) -> None:
         """Chooses how the body is read; else_until_end: without a declared length it ends with the stream."""
         coding, length = fields.get("transfer-encoding"), fields.get("content-length")
-        self._body_size = self._trailer_fields = 0
+        self._body_size = self._trailer_fields = self._chunks = 0
         if coding is not None:
             if length is not None:
                 raise MalformedError("both Content-Length and Transfer-Encoding")
@@ -225,6 +231,9 @@
             return False
         self._remaining = _parse_length(line.partition(";")[0].strip(), 16)
         self._check_body_size(self._remaining)
+        self._chunks += 1
+        if self._max_body is not None and self._chunks > MAX_CHUNKS:
+            raise MalformedError("too many chunks", 413)
         self._state = type(self)._read_chunk if self._remaining else type(self)._read_trailer
         return True
 
--- a/birchstack/net/operators.py
+++ b/birchstack/net/operators.py
@@ -17,6 +17,7 @@
 from birchstack.net.driver import Link
 from birchstack.net.log import log_event
 from birchstack.net.machine import Machine
+from birchstack.net.parsing import ParseScheduler
 from birchstack.net.periodic import PeriodicTask
 
 REQUEST_TIMEOUT_S = 2.0  # a request that is incomplete after this time is cut off
@@ -122,33 +123,55 @@
 
     def received(self, data: memoryview) -> None:
         """Called with data from the connection."""
-        if self.done:
-            return
+        if not self.done:
+            self._reader.append(data)
+            self._server.scheduler.parse(self)
+
+    def parse(self, max_steps: int) -> None:
+        """Parses a slice of what was received."""
+        steps = 0
         try:
-            for event in self._reader.feed(data):
-                if isinstance(event, http1.Request):
-                    self._head = replace(event, fields={})  # which no call of an operator needs
-                elif event is http1.END:
-                    self._respond(self._server.answer(self._head, bytes(self._body)))
-                    return
-                elif isinstance(event, bytes):
-                    self._body += event
+            while steps < max_steps and self._reader.pending:
+                steps += 1
+                for event in self._reader.step():
+                    self._on_event(event)
         except http1.MalformedError as problem:
             self._respond(Answer(False, f"malformed: {problem}", problem.status))
+        return steps
+
+    def _on_event(self, event: http1.Request | bytes | None) -> None:
+        if isinstance(event, http1.Request):
+            self._head = replace(event, fields={})  # which no call of an operator needs
+        elif event is http1.END:
+            self._respond(self._server.answer(self._head, bytes(self._body)))
+        else:
+            self._body += event
+
+    @property
+    def unparsed(self) -> bool:
+        """Whether there is more to parse."""
+        return self._reader.pending and not self.done
+
+    def set_reading_paused(self, paused: bool) -> None:
+        """Pauses or resumes reading."""
+        self.link.set_reading_paused(paused)
 
     def _respond(self, answer: Answer) -> None:
         self.done = True
+        self._reader.discard()
         self.link.write(answer.bytes())
         self.link.finish(lambda: self._server.unregister(self))  # it holds its descriptor until then
 
     def lost(self) -> None:
         """Called when the connection is lost."""
         self.done = True
+        self._reader.discard()
         self._server.unregister(self)
 
     def abort(self) -> None:
         """Aborts the connection."""
         self.done = True
+        self._reader.discard()
         self._server.unregister(self)
         self.link.abort()
 
@@ -160,6 +183,7 @@
         self, loop: asyncio.AbstractEventLoop, handlers: Handlers, max_connections: int = MAX_CONNECTIONS
     ) -> None:
         self._loop = loop
+        self.scheduler = ParseScheduler(loop)
         self._handlers = handlers
         self._max_connections = max_connections
         self._connections: dict[OperatorConnection, float] = {}  # deadline of each request, oldest first
