Requests of a client that closed behind much unread data are not sent on

What callers saw: a client sent many requests and closed its connection; one to eight of them were called afterwards, though nobody waited, and ran again when their client handed them in anew. Cause: whether a client has gone is read from the state of its connection. The end of a connection lies behind what was sent before it: with the receive buffer full the kernel holds it back, the connection looks open and its last bytes fresh. Fix: a request with 32 KiB or more behind it in the kernel, half of the smallest window, below which an end becomes visible, is refused like that of a client that has gone; so is one that has waited in the process for as long as its client does; and a connection whose turn comes again is dropped once its client has left.

--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -60,8 +60,8 @@
     """One client connection.
 
     due: by when a request must be complete, or the next one must come; request_began: when the current
-    request's first byte came; has_requested: whether any request has been complete; gone: closed, or being
-    closed.
+    request's first byte came; received_at: when the bytes came that are being parsed, at the earliest;
+    has_requested: whether any request has been complete; gone: closed, or being closed.
     """
 
     def __init__(self, server: ClientServer) -> None:
@@ -75,8 +75,7 @@
         self.gone = False
         self._last_request = False  # no further request is read
         self.has_requested = False
-        self.due = self.request_began = 0.0
-        self._received_at = 0.0  # when the bytes came that are parsed, at the earliest
+        self.due = self.request_began = self.received_at = 0.0
         self._paused_at: float | None = None  # since when nothing is read
         self._documents_unwaited = 0  # documents sent without waiting for the answers to those before
 
@@ -134,13 +133,15 @@
         if waited:  # for the answers so far
             self._documents_unwaited = 0
         # What waited in the kernel while reading was paused may have come at any time since
-        self._received_at = self._server.time() if self._paused_at is None else self._paused_at
+        self.received_at = self._server.time() if self._paused_at is None else self._paused_at
         self._paused_at = None
         self._reader.append(data)
         self._server.scheduler.parse(self)
 
     def parse(self, max_steps: int) -> None:
         """Parses a slice of what was received."""
+        if self._paused_at is not None and self.link.receive_state()[1]:
+            self.drop("client left")
         steps = 0
         try:
             while steps < max_steps and self.unparsed:
@@ -171,7 +172,7 @@
 
     def _begin_request(self) -> None:
         """Starts the time-out of a request."""
-        self.request_began = self._received_at
+        self.request_began = self.received_at
         due = self.request_began + REQUEST_TIMEOUT_S
         self.due = due if self.has_requested else min(self.due, due)
 
--- a/birchstack/net/submission.py
+++ b/birchstack/net/submission.py
@@ -19,6 +19,7 @@
 ABANDONED = "abandoned"
 STATUS = {ACCEPTED: 202, REJECTED: 429, UNAVAILABLE: 503, ABANDONED: 500}
 CLIENT_TIMEOUT_MS = 400.0  # a client waits this long for its answer
+MAX_UNREAD_BYTES = 32768  # from here on the kernel may hold back what a client sends, and its end
 EXCESS_TIMEOUT_MS = 1000.0  # a document's time-out may exceed the expiry of its type by this much
 MAX_PAIRS = 64  # name=value pairs in a field
 ID_PATTERN = re.compile("[0-9A-Za-z._~:+/=@-]{1,128}")
@@ -32,6 +33,7 @@
     link: Link
     gone: bool
     request_began: float
+    received_at: float
 
     def since_ms(self, moment: float) -> float:
         """Milliseconds since a time of the loop."""
@@ -120,11 +122,16 @@
             raise InvalidRequestError("thread, Idempotency-Key or Tenant")
 
     def age_and_gone(self) -> tuple[float, bool]:
-        """How long ago the client sent it, in ms as far as is known, and whether the client has gone."""
+        """How long ago the client sent it, in ms as far as is known, and whether the client has gone.
+
+        A client that has sent so much more that its end may still wait behind it, unseen, counts as gone."""
         if self._client.gone:
             return 0.0, True
-        quiet_ms, gone = self._client.link.receive_state()
-        return quiet_ms + self._client.since_ms(self._sent_at), gone or quiet_ms >= CLIENT_TIMEOUT_MS
+        link = self._client.link
+        quiet_ms, gone = link.receive_state()
+        waited_ms = max(quiet_ms, self._client.since_ms(self._client.received_at))
+        gone = gone or waited_ms >= CLIENT_TIMEOUT_MS or link.unread_bytes() >= MAX_UNREAD_BYTES
+        return quiet_ms + self._client.since_ms(self._sent_at), gone
 
     def reply(self, verdict: str, wait_ms: float = 0.0, close: bool = False) -> None:
         """Answers the client by a verdict (a key of STATUS); wait_ms becomes its Retry-After."""
