An address belongs to the endpoint that was listed there last

What callers saw: a document for one partner was called at another partner's process, which had come up at the address of an endpoint that had gone and stood in the list beside it until that was taken out. Cause: addresses were kept by endpoint alone; two endpoints at one address were both called there. Fix: net/address_claims.py, before a list is applied. An endpoint that is listed at an address later than another one supersedes it: the old one counts as gone until its successor goes or it is listed elsewhere. One that drains takes nothing over; endpoints that were listed at one address together keep it together, as nothing tells which is older.

--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -14,6 +14,7 @@
 
 from birchstack import interface
 from birchstack.decide import NEVER_RAN, Sender
+from birchstack.net.address_claims import AddressClaims
 from birchstack.net.audit import AuditLogFactory, SenderStatus
 from birchstack.net.by_hand import AdministrativeStates
 from birchstack.net.calls import Call, Calls
@@ -101,6 +102,7 @@
         )
         types = {kind.name: kind.expiry_ms for kind in config.settings.types}
         self._list = EndpointList(self._calls)
+        self._address_claims = AddressClaims()
         self._client_server = ClientServer(
             loop, types, shares.clients, self._list.is_known, self._on_document, self._memory.requests
         )
@@ -352,6 +354,7 @@
         return self._audit is None or self._audit.record_list(listing, source)
 
     def _on_list(self, mode: str, listed: list) -> None:
+        listed = self._address_claims.resolve(mode, listed)
         self._list.apply(mode, listed)
         if self._holds_lock:
             self._enqueue(self._core.endpoints, mode, [self._by_hand.effective(entry) for entry, _ in listed])
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -12,6 +12,9 @@
 from fake import OK_200, play, post, read_message
 from hostile import SENDING, STOPPING
 
+from birchstack import interface
+from birchstack.net.address_claims import AddressClaims
+
 LIMITS = {"memory_mb": 32, "sockets": 1024}  # the least that the pages name, with the most descriptors
 CROWD = 450  # clients: more than may be connected at once
 CLIENT_TIMEOUT_S = 0.4  # a client waits so long for its answer
@@ -192,3 +195,23 @@
         assert called == {"before", *(f"two{revision}" for revision, _ in enumerate(lists, 8))}
 
     play(tmp_path, story)
+
+
+def test_an_address_belongs_to_the_endpoint_that_was_listed_there_last():
+    def entry(name, state=interface.READY):
+        return interface.Endpoint(name, 1, "a", 0, state, 0.0), ("127.0.0.1", 1)
+
+    def told(mode, *entries):
+        return [(each.name, each.state) for each, _ in claims.resolve(mode, [*entries])]
+
+    ready, draining, gone = interface.READY, interface.DRAINING, interface.GONE
+    claims = AddressClaims()
+    # two that were listed together share it
+    assert told(interface.WHOLE, entry("a"), entry("b")) == [("a", ready), ("b", ready)]
+    assert told(interface.WHOLE, entry("a")) == [("a", ready)]
+    assert told(interface.CHANGES, entry("c")) == [("c", ready), ("a", gone)]
+    assert told(interface.CHANGES, entry("a", draining)) == [("a", gone)]
+    assert told(interface.WHOLE, entry("a"), entry("c")) == [("c", ready)]
+    assert told(interface.CHANGES, entry("c", gone)) == [("c", gone), ("a", ready)]
+    assert told(interface.CHANGES, entry("d", draining)) == [("d", gone)]
+    assert told(interface.CHANGES, entry("a", gone), entry("e")) == [("a", gone), ("e", ready), ("d", gone)]
