--- a/tests/hostile.py
+++ b/tests/hostile.py
@@ -17,6 +17,7 @@
 )
 MANY_FIELDS = b"GET /up HTTP/1.1\r\nHost: a\r\n" + b"".join(b"%x:\r\n" % number for number in range(2400))
 READ_BYTES = 1 << 16
+BYTE_INTERVAL_S = 0.05
 
 # Sent once, then the client stays silent
 STOPPING = {
@@ -27,11 +28,14 @@
     ),
     "half a head of many fields": lambda number: MANY_FIELDS,
 }
+# Sent a byte at a time
+TRICKLING = {"a byte at a time": lambda number: post(f"x{number}", body=b"x" * 65536)}
 # Sent over and over
 SENDING = {
     "readiness checks": lambda number: b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n" * 200,
     "tiny chunks": lambda number: CHUNKED + b"1\r\na\r\n" * 65000 + b"0\r\n\r\n",
     "many fields": lambda number: MANY_FIELDS + b"\r\n",
+    "unsound heads": lambda number: b"\x00" * 8000,
     "unknown types": lambda number: post(f"x{number}", f"type{number}"),
     "new names": lambda number: post(
         f"{number:0128d}", dest=1, more=f"Cookie: thread=k{number}\r\nTenant: t{number}\r\n"
@@ -46,6 +50,15 @@
         await writer.drain()
 
 
+async def trickle(writer: asyncio.StreamWriter, request: Callable[[int], bytes], number: int) -> None:
+    """Sends a request a byte at a time."""
+    with contextlib.suppress(OSError):
+        for byte in request(number):
+            writer.write(bytes((byte,)))
+            await writer.drain()
+            await asyncio.sleep(BYTE_INTERVAL_S)
+
+
 async def send_on(writer: asyncio.StreamWriter, request: Callable[[int], bytes], number: int) -> None:
     """Sends requests as fast as they are taken."""
     with contextlib.suppress(OSError):
@@ -57,7 +70,8 @@
 
 async def act(kind: str, port: int, number: int) -> None:
     """Acts as one client."""
-    send, request = (stop_half_way, STOPPING[kind]) if kind in STOPPING else (send_on, SENDING[kind])
+    ways = ((stop_half_way, STOPPING), (trickle, TRICKLING), (send_on, SENDING))
+    send, request = next((way, kinds[kind]) for way, kinds in ways if kind in kinds)
     while True:
         with contextlib.suppress(OSError):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -10,7 +10,7 @@
 
 import pytest
 from fake import OK_200, play, post, read_message
-from hostile import SENDING, STOPPING
+from hostile import SENDING, STOPPING, TRICKLING
 
 from birchstack import interface
 from birchstack.net.address_claims import AddressClaims
@@ -71,7 +71,7 @@
 
 
 @pytest.mark.parametrize("door", ["clients", "operators"])
-@pytest.mark.parametrize("kind", STOPPING)
+@pytest.mark.parametrize("kind", STOPPING | TRICKLING)
 def test_memory_passes_its_limit_beside_hundreds_of_clients_that_stop_half_way(tmp_path, kind, door):
     async def story(world):
         port = world.port if door == "clients" else world.ops
