--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -168,6 +168,8 @@
         """Pauses or resumes reading."""
         if paused:
             self._paused_at = self._server.time()
+        elif not self.link.unread_bytes():  # nothing came meanwhile
+            self._paused_at = None
         self.link.set_reading_paused(paused)
 
     def _begin_request(self) -> None:
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -10,7 +10,7 @@
 
 import pytest
 from fake import OK_200, play, post, read_message
-from hostile import SENDING, STOPPING, TRICKLING
+from hostile import CHUNKED, SENDING, STOPPING, TRICKLING
 
 from birchstack import interface
 from birchstack.net.address_claims import AddressClaims
@@ -215,3 +215,19 @@
     assert told(interface.CHANGES, entry("c", gone)) == [("c", gone), ("a", ready)]
     assert told(interface.CHANGES, entry("d", draining)) == [("d", gone)]
     assert told(interface.CHANGES, entry("a", gone), entry("e")) == [("a", gone), ("e", ready), ("d", gone)]
+
+
+# A pause in reading counted on after it had ended: as the age of the next request, and as not having waited
+def test_documents_in_many_pieces_on_one_connection_are_refused_after_a_pause(tmp_path):
+    async def story(world):
+        reader, writer = await world.client()
+        for number in range(12):
+            head = CHUNKED.replace(b"Request-Id: c1", b"Request-Id: c%d" % number)
+            writer.write(head + b"1\r\na\r\n" * 50 + b"0\r\n\r\n")
+            first, *_ = await read_message(reader)
+            assert first.startswith("HTTP/1.1 202"), number
+            await asyncio.sleep(1.5 * CLIENT_TIMEOUT_S if number % 4 == 0 else 0.0)
+        assert await world.until(lambda: len(world.calls) == 12)
+        assert {body for _, body, _ in world.calls} == {b"a" * 50}
+
+    play(tmp_path, story)
