A connection that ends while it waits to be parsed no longer raises an exception

The descriptor of a closed socket is -1, which the system calls' wrappers refuse with ValueError, not OSError; the look for unread bytes at the end of a pause met connections that had ended. In a debug build the exception also left the other connections that waited without a turn. Fix: a closed socket has nothing unread, whoever asks; the scheduler sets its next pass whatever a slice raises. test_a_closed_socket_has_nothing_unread failed before. The same look is made for clients that make room and for idle connections to endpoints, which could have met it too.

--- a/birchstack/net/driver.py
+++ b/birchstack/net/driver.py
@@ -48,7 +48,7 @@
         """Number of received bytes that were not read yet."""
         try:
             return struct.unpack("i", fcntl.ioctl(self._sock.fileno(), termios.FIONREAD, b"\0\0\0\0"))[0]
-        except (OSError, AttributeError):
+        except (OSError, AttributeError, ValueError):  # closed: its descriptor is -1
             return 0
 
     def receive_state(self) -> tuple[float, bool]:
@@ -56,7 +56,7 @@
         try:
             info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 104)
             return float(struct.unpack_from("=I", info, 52)[0]), info[0] in PEER_CLOSED_STATES
-        except (OSError, struct.error, AttributeError):
+        except (OSError, struct.error, AttributeError, ValueError):
             return 0.0, False
 
 
--- a/birchstack/net/parsing.py
+++ b/birchstack/net/parsing.py
@@ -54,10 +54,12 @@
 
     def _continue(self) -> None:
         self._scheduled = False
-        for _ in range(PASS_STEPS // SLICE_STEPS):
-            if self._waiting:
-                run_isolated(self._parse_slice, self._waiting.popleft())
-        self._schedule()
+        try:
+            for _ in range(PASS_STEPS // SLICE_STEPS):
+                if self._waiting:
+                    run_isolated(self._parse_slice, self._waiting.popleft())
+        finally:
+            self._schedule()
 
     def _parse_slice(self, connection: ParsingConnection) -> None:
         connection.parse(SLICE_STEPS)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -363,3 +363,11 @@
         assert len(wrong) == 3 and "ZeroDivisionError" in caplog.text
 
     asyncio.run(whole())
+
+
+# A connection that had ended while it waited to be parsed raised ValueError, as its descriptor is -1
+def test_a_closed_socket_has_nothing_unread():
+    sock = socket.socket()
+    sock.close()
+    info = driver.SocketInfo(sock)
+    assert info.unread_bytes() == 0 and info.receive_state() == (0.0, False)
