The reckoning of a document's memory reads in two lines; a comment says less

Cause: the formatter had broken one long expression over three lines, and the comment on METRIC_GAP told what the pattern is for in more words than it needs.

--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -33,7 +33,7 @@
 MAX_UNANSWERED = 8  # requests that may wait for their answer on one connection
 FIRST_LOGGED = 3  # incidents of a kind that are logged, before only each WARNING_INTERVAL-th is
 WARNING_INTERVAL = 1000
-METRIC_GAP = re.compile("[^a-z]+")  # in the name of an incident, replaced in that of its metric
+METRIC_GAP = re.compile("[^a-z]+")  # replaced in the name of a metric
 log = logging.getLogger(__name__)
 
 
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -35,7 +35,7 @@
 BLOCK_BYTES = 512
 RECORD_RESERVE_BYTES = 512  # space reserved per document for records that are still to be written
 COMPACT_MIN_BYTES = 131072  # smaller files are not compacted
-DOCUMENT_MEMORY_BYTES = 2600  # of a document in memory, and of its records, as files may count as memory
+DOCUMENT_MEMORY_BYTES = 2600  # of a document without its body, and of its records
 UNLIMITED_BYTES = 1 << 62
 MAX_WAITS = 256  # endpoint waits kept; the oldest are evicted
 log = logging.getLogger(__name__)
@@ -112,9 +112,8 @@
             + self.remembered.record_bytes
         )
         bodies = self._body_bytes + sum(map(round_up_to_blocks, sizes))
-        memory = (
-            DOCUMENT_MEMORY_BYTES * (len(self.entries) + len(sizes)) + 2 * bodies
-        )  # in memory and on disk
+        documents = len(self.entries) + len(sizes)
+        memory = DOCUMENT_MEMORY_BYTES * documents + 2 * bodies  # files may count as memory, so bodies do twice
         if memory > self._max_memory_bytes:
             return False
         # The current file and the one that a compaction writes beside it
