--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -113,7 +113,7 @@
         )
         bodies = self._body_bytes + sum(map(round_up_to_blocks, sizes))
         documents = len(self.entries) + len(sizes)
-        memory = DOCUMENT_MEMORY_BYTES * documents + 2 * bodies  # files may count as memory, so bodies do twice
+        memory = DOCUMENT_MEMORY_BYTES * documents + 2 * bodies  # files may count as memory
         if memory > self._max_memory_bytes:
             return False
         # The current file and the one that a compaction writes beside it
