Review case 7: messages of the old process of an upgrade get no end in time

Cause: at a hand-over the old process no longer gives the decisions a turn and its safety net stands still too. Messages whose time is up while it waits for hanging calls get no notice until the new process has the folder.

--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,71 @@
+"""An upgrade while one endpoint of four hangs: does each message that was taken on get its end in time?"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+import standins_2 as st  # noqa: E402
+
+EXCUSE_S = 1.5  # the longest excuse of the pages: nothing is overdue so long after the SIGTERM
+EVERY_S = 0.04  # between two documents: 25 a second, a quarter of them for each destination
+DESTINATIONS = (1, 2, 3, 4)
+TIMES_MS = (12000, 2000, 2500, 3000)  # from the hand-in to the end of a message's time, in turn
+HANG_S = 8.0
+
+
+async def hand_in(world: st.World, waiting: list[asyncio.Task]) -> None:
+    """Hands documents in at a steady rate, until it is cancelled; those with much time are orders."""
+    number = 0
+    while True:
+        destination = DESTINATIONS[number % 4]
+        time_ms = TIMES_MS[number // 4 % 4]
+        kind = "basket-order" if time_ms == TIMES_MS[0] else "recipe-sync"
+        waiting.append(asyncio.create_task(world.submit(kind, destination, time_ms)))
+        number += 1
+        await asyncio.sleep(EVERY_S)
+
+
+async def hang(world: st.World) -> None:
+    """Lets the first endpoint take calls and answer none for a while."""
+    endpoint = world.endpoints[0]
+    usual, endpoint.answer = endpoint.answer, lambda doc_id: None
+    world.record.line(f"{endpoint.uid} hangs from now on")
+    await asyncio.sleep(HANG_S)
+    endpoint.answer = usual
+    world.record.line(f"{endpoint.uid} answers again")
+
+
+async def case(world: st.World) -> list[str]:
+    """Plays the case."""
+    await world.open(*DESTINATIONS)
+    old = await world.start("old")
+    waiting: list[asyncio.Task] = []
+    handing = asyncio.create_task(hand_in(world, waiting))
+    await asyncio.sleep(4.0)
+    hanging = asyncio.create_task(hang(world)) if st.TROUBLE else None
+    await asyncio.sleep(1.0)
+    new = await world.start("new")
+    told = await world.replace(old, new)
+    await asyncio.sleep(1.0)
+    handing.cancel()
+    await asyncio.gather(*waiting)
+    if hanging:
+        await hanging
+    await asyncio.sleep(4.0)
+    if len(world.taken) < 100:
+        raise st.CannotRunError(f"only {len(world.taken)} documents were taken on")
+    broken = []
+    for doc_id, up in world.taken.items():
+        due = up + st.NOTICE_GRACE_S
+        if due >= told:
+            due = max(due, told + EXCUSE_S)
+        ended = world.ended_at(doc_id)
+        if ended > due and due < world.record.now():
+            broken.append(f"{doc_id}: time up at {up:.3f}, its end due by {due:.3f}, it came at {ended:.3f}")
+    return broken
+
+
+st.main(case, __file__)
