Review case 6: a bad client with the id of an open request loses its message

Cause: an id that is known is answered as accepted without a look at what came with it, and the id of a request that is not complete yet is kept nowhere. A bad client's request between the two pieces of a usual one is taken on in its place; the usual one is answered 202 and its document is never sent.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""An upgrade while discovery is down: does the sender keep to the list that it was told?"""
+"""A bad client uses the ids of open requests: are the usual clients' messages still delivered?"""
 
 from __future__ import annotations
 
@@ -9,81 +9,83 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins_2 as st  # noqa: E402
 
-GRACE_S = 2.0 + 0.05  # drainGraceMs
-DOWN_S = 8.0
-EVERY_S = 0.05  # between two documents: 20 a second
-DESTINATIONS = (1, 2, 3, 4)
+DOCUMENTS = 40
+EVERY_S = 0.1  # between two documents of the usual clients
+ATTACKED = 4  # the id of each fourth is used by the bad client, while the request is open
+GAP_S = 0.08  # a usual client's message comes in two pieces, so far apart
+TIME_MS = 6000
+DESTINATION, OTHER = 1, 2
 
 
-async def hand_in(world: st.World, waiting: list[asyncio.Task], sent: dict[str, int]) -> None:
-    """Hands documents in at a steady rate, until it is cancelled."""
+def request(kind: str, doc_id: str, destination: int, body: bytes) -> bytes:
+    """Returns a request with a document."""
+    head = (
+        f"POST /{kind} HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: {doc_id}\r\n"
+        f"Request-Timeout-Ms: {TIME_MS}\r\nContent-Length: {len(body)}\r\n"
+        f"X-Consignee: dest={destination}\r\n\r\n"
+    )
+    return head.encode() + body
 
-    async def one(destination: int) -> None:
-        doc_id, _ = await world.submit("recipe-sync", destination, 12000)
-        sent[doc_id] = destination
 
-    number = 0
-    while True:
-        waiting.append(asyncio.create_task(one(DESTINATIONS[number % 4])))
-        number += 1
-        await asyncio.sleep(EVERY_S)
+async def usual(world: st.World, doc_id: str, kind: str, body: bytes) -> None:
+    """Hands a document in, in two pieces; the second one begins in the body."""
+    data = request(kind, doc_id, DESTINATION, body)
+    reader, writer = await asyncio.open_connection(st.HOST, world.listen)
+    try:
+        sent = world.record.line(f"usual client: {doc_id} {kind} dest={DESTINATION}, {len(body)} bytes")
+        writer.write(data[: -len(body) // 2])
+        await asyncio.sleep(GAP_S)
+        writer.write(data[-len(body) // 2 :])
+        async with asyncio.timeout(st.ANSWER_S - GAP_S):
+            status = int((await reader.readline()).split()[1])
+    except (TimeoutError, OSError, IndexError) as problem:
+        world.record.line(f"usual client: {doc_id} got no answer: {problem!r}")
+        return
+    finally:
+        writer.close()
+    world.record.line(f"usual client: {doc_id} answered {status}")
+    if status in (200, 202):
+        world.taken[doc_id] = sent + TIME_MS / 1000.0
 
 
-async def replace_endpoints(world: st.World) -> dict[str, float]:
-    """Replaces s-1 by a new endpoint elsewhere; another partner's starts at its address."""
-    gone = world.endpoints[0]
-    new = await world.add_endpoint(gone.destination)
-    world.agent.change(new.entry())
-    await asyncio.sleep(0.5)
-    told = world.agent.change(gone.entry("leaving"))
-    await asyncio.sleep(1.0)
-    world.agent.change(gone.entry("left"))
-    await asyncio.sleep(1.0)
-    gone.close()
-    await asyncio.sleep(0.5)
-    other = await world.add_endpoint(2, gone.port)
-    world.record.line(f"{other.uid} of destination 2 starts at the address that {gone.uid} had")
-    world.agent.change(other.entry())
-    return {gone.uid: told}
+async def bad(world: st.World, doc_id: str) -> None:
+    """Uses the id of another client's open request."""
+    await asyncio.sleep(GAP_S / 2.0)
+    world.record.line(f"bad client: {doc_id} recipe-sync dest={OTHER}")
+    data = request("recipe-sync", doc_id, OTHER, b"of the bad client")
+    status = await st.http(world.listen, data, st.ANSWER_S)
+    world.record.line(f"bad client: {doc_id} answered {status}")
 
 
 async def case(world: st.World) -> list[str]:
     """Plays the case."""
-    await world.open(*DESTINATIONS)
-    old = await world.start("old")
-    waiting: list[asyncio.Task] = []
-    sent: dict[str, int] = {}
-    handing = asyncio.create_task(hand_in(world, waiting, sent))
-    await asyncio.sleep(1.0)
-    gone = await replace_endpoints(world)
-    await asyncio.sleep(4.0)
-    if st.TROUBLE:
-        world.agent.down = True
-        world.record.line("discovery is down")
-    down_until = world.record.now() + DOWN_S
-    await asyncio.sleep(0.5)
-    new = await world.start("new")
-    await world.replace(old, new)
-    await asyncio.sleep(down_until - world.record.now())
-    world.agent.down = False
-    world.record.line("discovery is back")
-    await asyncio.sleep(3.0)
-    handing.cancel()
-    await asyncio.gather(*waiting)
-    if len(world.taken) < 100:
+    await world.open(DESTINATION, OTHER)
+    await world.start("only")
+    bodies: dict[str, bytes] = {}
+    tasks = []
+    for number in range(DOCUMENTS):
+        doc_id = f"{number:04d}9b1f03aa5c7e"
+        bodies[doc_id] = f"the document {number} of a usual client".encode() * 4
+        kind = "basket-order" if number // ATTACKED % 2 else "recipe-sync"
+        tasks.append(asyncio.create_task(usual(world, doc_id, kind, bodies[doc_id])))
+        if st.TROUBLE and number % ATTACKED == 0:
+            tasks.append(asyncio.create_task(bad(world, doc_id)))
+        await asyncio.sleep(EVERY_S)
+    await asyncio.gather(*tasks)
+    await asyncio.sleep(TIME_MS / 1000.0 + 1.0)
+    if len(world.taken) < DOCUMENTS // 2:
         raise st.CannotRunError(f"only {len(world.taken)} documents were taken on")
     broken = []
-    for endpoint in world.endpoints:
-        late = [at for at, _ in endpoint.calls if at > gone.get(endpoint.uid, float("inf")) + GRACE_S]
-        if late:
-            broken.append(f"{endpoint.uid} is gone, and got {len(late)} calls, the first at {late[0]:.3f}")
-        foreign = [(at, each) for at, each in endpoint.calls if sent.get(each, 0) != endpoint.destination]
-        if foreign:
-            at, doc_id = foreign[0]
-            broken.append(
-                f"{endpoint.uid} of destination {endpoint.destination} got {len(foreign)} documents "
-                f"of another destination, the first one {doc_id} at {at:.3f}"
-            )
+    own, other = world.endpoints
+    for doc_id, up in world.taken.items():
+        ended = world.agent.notices[doc_id][0] if doc_id in world.agent.notices else float("inf")
+        if own.bodies.get(doc_id) == bodies[doc_id]:
+            ended = min(ended, own.delivered.get(doc_id, float("inf")))
+        if ended > up + st.NOTICE_GRACE_S:
+            found = [
+                each.uid for each in (own, other) if each.bodies.get(doc_id, b"") not in (b"", bodies[doc_id])
+            ]
+            broken.append(f"{doc_id} was taken on, its body came nowhere, no notice; another body at {found}")
     return broken
 
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -122,8 +122,10 @@
         self.record = record
         self.uid = uid
         self.destination = destination
+        self.boot_ms = 0  # when its process started, in Unix time; 0 means long ago
         self.answer: Callable[[str], Answer | None] = lambda doc_id: (0.1, 200, {})
         self.calls: list[tuple[float, str]] = []  # time and document, as the last byte of a call came
+        self.bodies: dict[str, bytes] = {}  # by document, as it came last
         self.delivered: dict[str, float] = {}  # by document, when a 200 was written first
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -131,6 +133,7 @@
         while (message := await read_message(reader)) is not None:
             doc_id = message[1].get("request-id", "")
             self.calls.append((self.record.line(f"call {doc_id} at {self.uid}"), doc_id))
+            self.bodies[doc_id] = message[2]
             answer = self.answer(doc_id)
             if answer is None:
                 await reader.read()  # until the sender gives the call up
@@ -155,7 +158,7 @@
             "pod_group": self.destination if destination is None else destination,
             "state": state,
             "capacity_hint": 1.0,
-            "boot_ms": 0,
+            "boot_ms": self.boot_ms,
         }
 
 
@@ -330,6 +333,7 @@
         self.listen = free_port()
         self.taken: dict[str, float] = {}  # by document taken on, when its time is up
         self.answers: dict[str, int | None] = {}
+        self.sent: dict[str, int] = {}  # by document that was handed in, its destination
         self.settings = json.loads(json.dumps(SETTINGS))
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}
         self._numbers = itertools.count(1)
@@ -411,6 +415,7 @@
     ) -> tuple[str, int | None]:
         """Hands a document in; returns its id, and the status of the answer within 400 ms."""
         doc_id = f"d{next(self._numbers):04d}"
+        self.sent[doc_id] = destination
         head = (
             f"POST /{kind} HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: {doc_id}\r\n"
             f"Request-Timeout-Ms: {timeout_ms}\r\nContent-Length: {len(body)}\r\n"
