--- a/review/6/case.py
+++ b/review/6/case.py
@@ -81,7 +81,7 @@
         ended = world.agent.notices[doc_id][0] if doc_id in world.agent.notices else float("inf")
         if own.bodies.get(doc_id) == bodies[doc_id]:
             ended = min(ended, own.delivered.get(doc_id, float("inf")))
-        if ended > up + st.NOTICE_GRACE_S:
+        if ended > up + st.GRACE_S:
             found = [
                 each.uid for each in (own, other) if each.bodies.get(doc_id, b"") not in (b"", bodies[doc_id])
             ]
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,18 +11,22 @@
 
 EXCUSE_S = 1.5  # the longest excuse of the pages: nothing is overdue so long after the SIGTERM
 EVERY_S = 0.04  # between two documents: 25 a second, a quarter of them for each destination
+ANSWER_S = 0.3  # an endpoint's usual time
 DESTINATIONS = (1, 2, 3, 4)
-TIMES_MS = (12000, 2000, 2500, 3000)  # from the hand-in to the end of a message's time, in turn
+ORDER_MS = 12000  # from the hand-in to the end of an order's time; each third document is one
+TIMES_MS = (1800, 1900, 2000, 2100, 2200)  # the same of the others, in turn
+OVERLAP_S = 1.0  # from the new process's yes, with which the hang begins, to the SIGTERM
 HANG_S = 8.0
 
 
 async def hand_in(world: st.World, waiting: list[asyncio.Task]) -> None:
-    """Hands documents in at a steady rate, until it is cancelled; those with much time are orders."""
+    """Hands documents in at a steady rate, until it is cancelled."""
     number = 0
     while True:
         destination = DESTINATIONS[number % 4]
-        time_ms = TIMES_MS[number // 4 % 4]
-        kind = "basket-order" if time_ms == TIMES_MS[0] else "recipe-sync"
+        turn = number // 4
+        order = turn % 3 == 0
+        kind, time_ms = ("basket-order", ORDER_MS) if order else ("recipe-sync", TIMES_MS[turn % 5])
         waiting.append(asyncio.create_task(world.submit(kind, destination, time_ms)))
         number += 1
         await asyncio.sleep(EVERY_S)
@@ -41,13 +45,15 @@
 async def case(world: st.World) -> list[str]:
     """Plays the case."""
     await world.open(*DESTINATIONS)
+    for endpoint in world.endpoints:
+        endpoint.answer = lambda doc_id: (ANSWER_S, 200, {})
     old = await world.start("old")
     waiting: list[asyncio.Task] = []
     handing = asyncio.create_task(hand_in(world, waiting))
     await asyncio.sleep(4.0)
-    hanging = asyncio.create_task(hang(world)) if st.TROUBLE else None
-    await asyncio.sleep(1.0)
     new = await world.start("new")
+    hanging = asyncio.create_task(hang(world)) if st.TROUBLE else None
+    await asyncio.sleep(OVERLAP_S)
     told = await world.replace(old, new)
     await asyncio.sleep(1.0)
     handing.cancel()
@@ -59,7 +65,7 @@
         raise st.CannotRunError(f"only {len(world.taken)} documents were taken on")
     broken = []
     for doc_id, up in world.taken.items():
-        due = up + st.NOTICE_GRACE_S
+        due = up + st.GRACE_S
         if due >= told:
             due = max(due, told + EXCUSE_S)
         ended = world.ended_at(doc_id)
