--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,7 +10,8 @@
 import standins_2 as st  # noqa: E402
 
 EXCUSE_S = 1.5  # the longest excuse of the pages: nothing is overdue so long after the SIGTERM
-EVERY_S = 0.04  # between two documents: 25 a second, a quarter of them for each destination
+EVERY_S = 0.025  # between two documents: under 40 a second, a quarter of them for each destination
+SLOTS = 40  # some twice what the documents would keep busy at full load, of which this is half
 ANSWER_S = 0.3  # an endpoint's usual time
 DESTINATIONS = (1, 2, 3, 4)
 ORDER_MS = 12000  # from the hand-in to the end of an order's time; each third document is one
@@ -44,6 +45,7 @@
 
 async def case(world: st.World) -> list[str]:
     """Plays the case."""
+    world.settings["domain"]["callsOut"] = SLOTS
     await world.open(*DESTINATIONS)
     for endpoint in world.endpoints:
         endpoint.answer = lambda doc_id: (ANSWER_S, 200, {})
