The processes of an upgrade keep the limit on the state folder together

Cause: Ledger.has_space counted only what its own process held. The standby process had a quarter of the limit whatever the holder had, the holder might fill the whole, and its takeovers freed the quarter again.

Change: fixed shares (net/disk_usage.py). A process accepts a document only if it stays within its share, and the limit holds if each other process takes the larger of its share and what it has, known from its file. A takeover moves documents from one count to the other. The memory of held documents is divided by the same rule, and a standby process accepts nothing before the holder can know of it. Why it works: shares are fixed, so a late view of the other file cannot add up to more than the limit.

--- a/birchstack/net/handover.py
+++ b/birchstack/net/handover.py
@@ -63,7 +63,12 @@
     @property
     def keeps_order(self) -> bool:
         """Whether this process surely knows of each earlier document of a key that it is given."""
-        return self.complete and self._announced and not (self.closing and self._holds_lock)
+        return self.knows_others and not (self.closing and self._holds_lock)
+
+    @property
+    def knows_others(self) -> bool:
+        """Whether this process knows what the others have accepted, and they know that it is there."""
+        return self.complete and self._announced
 
     def hold_folder(self, ledger: Ledger) -> None:
         """This process holds the folder from now on, with another ledger."""
@@ -137,6 +142,7 @@
     def _drop_claimed(self) -> None:
         """A waiting process forgets what the holder has taken over."""
         try:
+            self._find_standby()
             claimed = self._ledger.drop_claimed()
             self.complete = True
         except OSError as problem:
--- a/birchstack/net/ledger.py
+++ b/birchstack/net/ledger.py
@@ -1,9 +1,9 @@
 """Write-ahead log of the documents that this sender has accepted and not yet finished.
 
 Owns the ledger file in the state folder, with one checksummed line per record, and one file per document
-body. Must never exceed the disk limit (old and compacted file together, in whole blocks), never decide what
-follows from the recovered state, and never call fsync: records have to survive the process, not the operating
-system.
+body. Must never exceed the disk limit (old and compacted file together, in whole blocks), which the ledgers
+of all processes of the sender keep together (disk_usage.py). Must never decide what follows from the
+recovered state, and never call fsync: records have to survive the process, not the operating system.
 """
 
 from __future__ import annotations
@@ -14,7 +14,14 @@
 from dataclasses import replace
 
 from birchstack.interface import Recovery
-from birchstack.net import recoveries
+from birchstack.net import disk_usage, recoveries
+from birchstack.net.disk_usage import (
+    COMPACT_MIN_BYTES,
+    RECORD_RESERVE_BYTES,
+    Peer,
+    Usage,
+    round_up_to_blocks,
+)
 from birchstack.net.ended import EndedDocuments
 from birchstack.net.ledger_records import (
     STANDBY_FIRST_BODY,
@@ -32,18 +39,14 @@
 FILE = "ledger"
 STANDBY_PREFIX = "ledger-next-"  # file of a process that waits while another one holds the state folder
 LOCK_SUFFIX = ".lock"  # lock file that shows that the standby process is alive
-BLOCK_BYTES = 512
-RECORD_RESERVE_BYTES = 512  # space reserved per document for records that are still to be written
-COMPACT_MIN_BYTES = 131072  # smaller files are not compacted
-DOCUMENT_MEMORY_BYTES = 2600  # of a document without its body, and of its records
 UNLIMITED_BYTES = 1 << 62
 MAX_WAITS = 256  # endpoint waits kept; the oldest are evicted
 log = logging.getLogger(__name__)
 
 
-def round_up_to_blocks(size: int) -> int:
-    """Rounds a size in bytes up to whole disk blocks."""
-    return -(-size // BLOCK_BYTES) * BLOCK_BYTES
+def is_standby_file(name: str) -> bool:
+    """Returns whether a file in the state folder is the ledger of a standby process."""
+    return name.startswith(STANDBY_PREFIX) and "." not in name
 
 
 class Ledger:
@@ -57,21 +60,20 @@
         divert: Callable[[LedgerEntry], bool] = lambda entry: False,
         max_memory_bytes: int = UNLIMITED_BYTES,
     ) -> None:
-        """Opens the ledger in `folder` with at most `limit` bytes.
+        """Opens the ledger in `folder`, which has at most `limit` bytes with the ledgers of all processes.
 
-        max_memory_bytes: beyond it there is no space for another document.
+        max_memory_bytes: of the documents of all processes; beyond it there is no space for another one.
 
         standby_name: set on a standby process, while another process holds the state folder and sends. It is
         a name in hexadecimal digits that no other process has ever used. divert(entry): returns True if a
         document of a standby process is held elsewhere, or was put there now; raises OSError if it could not.
 
-        A standby process writes its own file and bodies, in a quarter of the space. The holder takes its
+        A standby process writes its own file and bodies, in its share of the space. The holder takes its
         documents over: those of a live standby process by claim_standby(), those of one that has ended by
         adopt_standby() or at its own start. From then on they are the holder's, in their order of acceptance,
         and the standby process drops them (drop_claimed()). This prevents two processes from sending the same
         documents or writing one file, and the loss of documents of a standby process that ends before the
-        holder. Drawback: the quarter is not reserved, so a holder that fills the folder leaves no space for a
-        standby process.
+        holder. Drawback: a holder that had filled the folder before leaves no space for a standby process.
         """
         self._folder = folder
         self._divert = divert
@@ -94,11 +96,11 @@
         self._handle = -1
         self._name = FILE
         if standby_name:
-            self._name, self._limit = STANDBY_PREFIX + standby_name, self._limit // 4
+            self._name = STANDBY_PREFIX + standby_name
             self._next_body = STANDBY_FIRST_BODY + int(standby_name, 16)
             folder.lock(self._name + LOCK_SUFFIX)  # before the file exists, which others could adopt
             self._handle = folder.open(self._name, fresh=True)
-            self._holder = LedgerFollower(folder, FILE)
+            self._holder = LedgerFollower(folder, FILE, self._limit)
         else:
             self._recover()
 
@@ -106,22 +108,29 @@
 
     def has_space(self, sizes: list[int]) -> bool:
         """Returns whether there is space for documents with bodies of these sizes."""
-        records = (
-            RECORD_RESERVE_BYTES * (len(self.entries) + len(sizes))  # for documents
-            + recoveries.RECORD_BYTES * len(self.recoveries)  # for endpoints that are recovering
-            + self.remembered.record_bytes
-        )
-        bodies = self._body_bytes + sum(map(round_up_to_blocks, sizes))
-        documents = len(self.entries) + len(sizes)
-        memory = DOCUMENT_MEMORY_BYTES * documents + 2 * bodies  # files may count as memory
-        if memory > self._max_memory_bytes:
-            return False
-        # The current file and the one that a compaction writes beside it
-        return (
-            bodies + round_up_to_blocks(2 * records) + round_up_to_blocks(records) + COMPACT_MIN_BYTES
-            <= self._limit
+        own = self._usage().with_bodies(sizes)
+        return disk_usage.has_space(
+            own, self._holder is not None, self._peers(), self._limit, self._max_memory_bytes
         )
 
+    def _usage(self) -> Usage:
+        recovering = recoveries.RECORD_BYTES * len(self.recoveries)
+        return Usage(len(self.entries), self._body_bytes, recovering + self.remembered.record_bytes)
+
+    def _peers(self) -> list[Peer]:
+        """Returns what the other processes have, each document counted for one process only."""
+        standby = [Peer(self._unclaimed_usage(each), True) for each in self._followers.values()]
+        return [Peer(self._holder.replay.usage(), False), *standby] if self._holder else standby
+
+    def _unclaimed_usage(self, standby: LedgerFollower) -> Usage:
+        """Returns what a standby process has that the holder has not taken over."""
+        entries = standby.replay.entries
+        if self._holder:
+            unclaimed = [each for each in entries.values() if not self._holder.replay.knows(each.id)]
+        else:
+            unclaimed = [each for each in self._unclaimed.values() if entries.get(each.id) is each]
+        return Usage().with_bodies(0 if each.notice else each.size for each in unclaimed)
+
     def add(
         self,
         doc_id: str,
@@ -221,15 +230,16 @@
         """Returns whether this sender accepted a document with this id, in this process or another.
 
         It is held, or ended not long ago."""
-        others = (self._holder,) if self._holder else self._followers.values()
-        return self._knows_itself(doc_id) or any(other.replay.knows(doc_id) for other in others)
+        return self._knows_itself(doc_id) or any(each.replay.knows(doc_id) for each in self._others())
 
     def forget_ended(self, now: float) -> None:
         """Forgets documents that ended so long ago that no repeat of them can arrive."""
-        others = (self._holder,) if self._holder else self._followers.values()
-        for remembered in (self.remembered, *(other.replay.remembered for other in others)):
+        for remembered in (self.remembered, *(each.replay.remembered for each in self._others())):
             remembered.forget(now)
 
+    def _others(self) -> list[LedgerFollower]:
+        return [*self._followers.values(), *([self._holder] if self._holder else [])]
+
     def _knows_itself(self, doc_id: str) -> bool:
         return doc_id in self.entries or doc_id in self.remembered
 
@@ -243,7 +253,7 @@
 
     def close(self) -> None:
         """Closes the files, and releases the standby lock if there is one."""
-        for follower in (*self._followers.values(), *((self._holder,) if self._holder else ())):
+        for follower in self._others():
             follower.close()
         self._folder.close(self._handle)
         if self._name != FILE:
@@ -258,14 +268,18 @@
             return False
 
     def find_standby(self) -> None:
-        """Looks for standby processes, to be followed from now on; raises OSError if that failed."""
-        self._follow(self._list_standby_files())
+        """Looks for other standby processes, to be followed from now on; raises OSError if that failed."""
+        if self._holder is None:
+            self._follow(self._list_standby_files())
+            return
+        names = [each for each in self._folder.names() if is_standby_file(each) and each != self._name]
+        self._follow(names)
 
     def _follow(self, names: Iterable[str]) -> None:
         wanted = [name for name in names if name not in self._adopted]
         for name in wanted:
             if name not in self._followers:
-                self._followers[name] = LedgerFollower(self._folder, name)
+                self._followers[name] = LedgerFollower(self._folder, name, self._limit)
         for name in [each for each in self._followers if each not in wanted]:
             self._followers.pop(name).close()
 
@@ -296,7 +310,8 @@
     def drop_claimed(self) -> list[LedgerEntry]:
         """On a standby process: drops the documents that the holder has taken over, and returns them.
 
-        Raises OSError if the holder's file cannot be read."""
+        Raises OSError if the holder's file or another standby process's cannot be read."""
+        self._poll_other_standby()
         before = self._holder.replay, self._holder.replay.ended_records
         if not self._holder.poll():
             return []
@@ -315,6 +330,14 @@
         self._maintain()
         return claimed
 
+    def _poll_other_standby(self) -> None:
+        """On a standby process: reads what other standby processes have written; some have ended."""
+        for name, follower in [*self._followers.items()]:
+            try:
+                follower.poll()
+            except FileNotFoundError:
+                self._followers.pop(name).close()
+
     def adopt_standby(self) -> list[LedgerEntry]:
         """Adopts the documents of standby processes that ended before this one.
 
@@ -411,9 +434,7 @@
         return {
             name: self._folder.lock(name + LOCK_SUFFIX)
             for name in sorted(names)
-            if name.startswith(STANDBY_PREFIX)
-            and "." not in name
-            and (self._handle < 0 or name + LOCK_SUFFIX in names)
+            if is_standby_file(name) and (self._handle < 0 or name + LOCK_SUFFIX in names)
         }
 
     def _remove_adopted_files(self) -> None:
--- a/birchstack/net/ledger_records.py
+++ b/birchstack/net/ledger_records.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from birchstack.net import recoveries
+from birchstack.net.disk_usage import Usage, round_up_to_blocks
 from birchstack.net.ended import RECORD_KIND as ENDED
 from birchstack.net.ended import EndedDocuments
 from birchstack.net.recoveries import RecoveryRecords
@@ -77,6 +78,7 @@
         """Replays `text`; recovery_records receives the recovery records, which are ignored without it."""
         self._recoveries = RecoveryRecords(0) if recovery_records is None else recovery_records
         self.entries: dict[str, LedgerEntry] = {}
+        self._body_bytes = 0  # of documents without a notice
         self.ended: dict[str, None] = {}
         self.remembered = EndedDocuments()
         self.waits: dict[str, float] = {}
@@ -104,6 +106,15 @@
         """Returns whether a document with this id was accepted: it is held, or ended not long ago."""
         return doc_id in self.entries or doc_id in self.remembered
 
+    def usage(self) -> Usage:
+        """Returns what the documents and records take."""
+        recovering = recoveries.RECORD_BYTES * len(self._recoveries)
+        return Usage(len(self.entries), self._body_bytes, recovering + self.remembered.record_bytes)
+
+    def _release_body(self, entry: LedgerEntry | None) -> None:
+        if entry and entry.notice is None:
+            self._body_bytes -= round_up_to_blocks(entry.size)
+
     def _replay(self, what: str, doc_id: str, *words) -> None:
         """Applies one record; for some kinds, doc_id is an endpoint, a file or a time."""
         if what == "wait":  # doc_id is an endpoint
@@ -123,7 +134,10 @@
             self._accepted_at[doc_id] = float(words[0])
             return
         if what == "take":
-            entry = self.entries[doc_id] = LedgerEntry(doc_id, *words)
+            entry = LedgerEntry(doc_id, *words)
+            self._release_body(self.entries.get(doc_id))
+            self.entries[doc_id] = entry
+            self._body_bytes += round_up_to_blocks(entry.size)
             entry.accepted_at = self._accepted_at.pop(doc_id, 0.0)
             if entry.body_number < STANDBY_FIRST_BODY:
                 self.next_body = max(self.next_body, entry.body_number + 1)
@@ -144,8 +158,10 @@
                 [(zone, when) for zone, when in doubt],
             )
         elif what == "notice":
+            self._release_body(entry)
             entry.notice = words[0], words[1]
         elif what == "done":
+            self._release_body(entry)
             del self.entries[doc_id]
             self.ended[doc_id] = None
             self.remembered.add(doc_id, entry.expiry)
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -328,7 +328,7 @@
         have its id, or an earlier document of its key, without this one knowing."""
         if self._closing_at is not None and not self._handing_over:
             return True
-        if not self._holds_lock and not self._handover.complete:
+        if not self._holds_lock and not self._handover.knows_others:
             return True
         return request.key is not None and not self._handover.keeps_order and self._is_ordered(request.type)
 
--- a/birchstack/net/standby.py
+++ b/birchstack/net/standby.py
@@ -11,17 +11,20 @@
 
 from birchstack.net.ledger_records import LedgerEntry, LedgerReplay
 from birchstack.net.machine import Folder
+from birchstack.net.recoveries import RecoveryRecords
 
 
 class LedgerFollower:
     """The state of another process's ledger file, as of the last poll()."""
 
-    def __init__(self, folder: Folder, name: str) -> None:
+    def __init__(self, folder: Folder, name: str, recovery_room: int) -> None:
+        """recovery_room: bytes that the state folder may hold, which bounds the recovery records."""
+        self._recovery_room = recovery_room
         self._folder = folder
         self._name = name
         self._handle = -1
         self._offset = 0
-        self.replay = LedgerReplay()
+        self.replay = self._empty_replay()
         self._fresh: dict[str, None] = {}  # ids accepted since pop_accepted()
 
     def poll(self) -> bool:
@@ -33,11 +36,14 @@
         if self._handle < 0:
             self._handle = self._folder.open_to_read(self._name)
             self._offset = 0
-            self.replay = LedgerReplay()
+            self.replay = self._empty_replay()
         data = self._folder.read_from(self._handle, self._offset)
         self._apply(data)
         return bool(data)
 
+    def _empty_replay(self) -> LedgerReplay:
+        return LedgerReplay(b"", RecoveryRecords(self._recovery_room))
+
     def _apply(self, data: bytes) -> None:
         """Applies whole lines; the last one may still be in the middle of its write."""
         lines = data.split(b"\n")
