Documents end in time at a process that makes no calls any more

Cause: from SIGTERM on a process that hands over makes no calls, and so did not ask the decisions for a turn; but a turn also ends what cannot be delivered in time. The safety net waits for the turn after the expiry, which did not come.

Change: Sender.turn_without_calls, the part of a turn that ends documents, with its own wake-up; the host asks for it whenever it may not call. Documents of the backlog that expire are read back and ended meanwhile, and a waiting process that is told to end goes on ending what nobody has taken over. Why it works: the rule that ends a document is the same as before and now runs in every state of the process.

--- a/birchstack/decide.py
+++ b/birchstack/decide.py
@@ -483,11 +483,7 @@
             1.0, (now - self._last_turn_at) / SLOT_LOAD_MS
         )
         self._alarm = self._alarm if now < self._alarm - ALARM_TOLERANCE_MS else float("inf")
-        while self._last_starts and (self._last_starts[0][2].finished or self._last_starts[0][0] <= now):
-            document = heapq.heappop(self._last_starts)[2]
-            if not document.finished and document.call is None:
-                document.destination.queue.remove(document)
-                self._resume(now, document, None)
+        self._end_late(now)
         if now >= self._list_request_at:
             self._list_request_at = float("inf")
             self._host.subscribe()
@@ -506,6 +502,21 @@
         self._last_slot_load = self._in_flight / self._settings.slots
         self._last_turn_at = now
 
+    def turn_without_calls(self, now: float) -> None:
+        """Ends a group of events while the host makes no calls: documents still end in time."""
+        self._changed = True  # for the next turn with calls
+        self._alarm = float("inf")
+        self._end_late(now)
+        self._wake(now, self._last_starts[0][0] if self._last_starts else float("inf"))
+
+    def _end_late(self, now: float) -> None:
+        """Ends the documents whose time no longer covers a call."""
+        while self._last_starts and (self._last_starts[0][2].finished or self._last_starts[0][0] <= now):
+            document = heapq.heappop(self._last_starts)[2]
+            if not document.finished and document.call is None:
+                document.destination.queue.remove(document)
+                self._resume(now, document, None)
+
     # The ordinary path of a document
 
     def _deliver(self, document: Document) -> Generator:
--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -257,3 +257,6 @@
 
     def turn(self, now: float) -> None:
         """Ends a group of events: the sender acts on them."""
+
+    def turn_without_calls(self, now: float) -> None:
+        """Ends a group of events while the host makes no calls: documents still end in time."""
--- a/birchstack/net/overflow.py
+++ b/birchstack/net/overflow.py
@@ -251,8 +251,10 @@
             self._to_read[destination] = True
             self._schedule_turn()
 
-    def turn(self, now: float, wall: float) -> None:
-        """Submits documents that expire on disk, and those that there is room for, to the decision logic."""
+    def turn(self, now: float, wall: float, ending: bool = False) -> None:
+        """Submits documents that expire on disk, and those that there is room for, to the decision logic.
+
+        ending: the process ends; the documents that do not expire before that stay on disk."""
         if self._timer:
             self._timer.cancel()
         for destination in self._stored if self._first_turn else ():
@@ -260,15 +262,15 @@
         self._first_turn = False
         try:
             more = self._end_overdue(now, wall)
-            for destination in [*self._to_read][:MAX_DESTINATIONS]:
+            for destination in [] if ending else [*self._to_read][:MAX_DESTINATIONS]:
                 if self._read(now, destination) < MAX_READ:  # no more room, or none left: until one ends
                     self._to_read.pop(destination, None)
-            self._housekeeping_due = self._housekeeping_due and self._store.step()
+            self._housekeeping_due = not ending and self._housekeeping_due and self._store.step()
         except OSError as problem:
             log_event(log, "backlog not read", logging.ERROR, problem=problem)
             self._timer = self._loop.call_later(RETRY_S, self._schedule_turn)
             return
-        if more or self._to_read or self._housekeeping_due:
+        if more or not ending and (self._to_read or self._housekeeping_due):
             self._loop.call_soon(self._schedule_turn)  # a pass later, so that other work is not held up
         due_s = (self._store.next_due() - NO_CALL_MS - wall) / 1000.0
         if due_s < MAX_TIMER_S:
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -274,7 +274,7 @@
         first gets the lists received meanwhile. If the waiting process ends first, the holder adopts its
         file. Cost: documents that a hanging holder does not take over wait until it has ended.
         """
-        if self._closing_at is not None:
+        if self._closing_at is not None and self._holds_lock:
             return
         self._loop.call_later(
             LOCK_CHECK_S * (HOLDER_CHECK_FACTOR if self._holds_lock else 1), self._check_lock
@@ -283,7 +283,7 @@
         self._ledger.forget_ended(self._lasting.ms())
         if self._holds_lock:
             self._adopt_standby()
-        elif self._folder.lock(LOCK_NAME):
+        elif self._closing_at is None and self._folder.lock(LOCK_NAME):
             self._take_folder_over()
         else:
             self._handover.wait()
@@ -422,11 +422,10 @@
                 run_isolated(self._accept, now, *arguments)
             else:
                 self._guarded(handler, now, *arguments)
-        if self._overflow and self._closing_at is None:
-            self._overflow.turn(now, self._lasting.ms())
-        if self._may_call():
-            self._guarded(self._core.turn, now)
-            self._last_turn_at = now
+        if self._overflow:
+            self._overflow.turn(now, self._lasting.ms(), ending=self._closing_at is not None)
+        self._guarded(self._core.turn if self._may_call() else self._core.turn_without_calls, now)
+        self._last_turn_at = now
         self._commit(now)
 
     def _may_call(self) -> bool:
