The table of walks names the part of a turn that ends late documents

Cause: moved the walk over late documents from Sender.turn into Sender._end_late; the table of walks in tests/test_capacity_sender.py still named the former, so that its case "owed" failed.

Change: the entry has the new name, with the same exponent and the same check.

--- a/tests/test_capacity_sender.py
+++ b/tests/test_capacity_sender.py
@@ -20,7 +20,7 @@
     "decide.py Sender._degraded_slots_left",
 )
 LOOK, END = "decide.py Sender._find_best", "decide.py Sender._end"
-ROOM, TURN, LIST = "decide.py Sender._make_room", "decide.py Sender.turn", "decide.py Sender.endpoints"
+ROOM, LATE, LIST = "decide.py Sender._make_room", "decide.py Sender._end_late", "decide.py Sender.endpoints"
 # Functions that go through all there are of what varies, and by which power; {}: nothing does
 WALKS = {
     "listed": {
@@ -53,7 +53,7 @@
         "decisions: an outcome": {},
         "decisions: an alarm": {LOOK: 1},
         "decisions: a list change": {},
-        "decisions: an expiry": {LOOK: 1, TURN: 1, END: 1},
+        "decisions: an expiry": {LOOK: 1, LATE: 1, END: 1},
         "decisions: no room": {ROOM: 1},
         "node: a document": {HOPELESS: 1},
         "node: a list change": {HOPELESS: 1},
