--- a/birchstack/interface.py
+++ b/birchstack/interface.py
@@ -75,7 +75,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """One entry of the endpoint list."""
+    """One entry of the endpoint list.
+
+    started_ms: when its process started, in Unix time; 0 if that is long ago or not known.
+    """
 
     name: str
     destination: int
@@ -83,6 +86,7 @@
     kind: int
     state: str
     rate: float
+    started_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/birchstack/net/discovery.py
+++ b/birchstack/net/discovery.py
@@ -35,6 +35,7 @@
 MAX_VERSION = (1 << 63) - 1  # largest version that every component that stores versions can hold
 JSON_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 STATES = {"active": our.READY, "leaving": our.DRAINING, "left": our.GONE}
+MAX_STARTED_MS = 1e15  # of Unix time
 log = logging.getLogger(__name__)
 
 
@@ -49,6 +50,7 @@
                 kinds.index(line["model"]) if line.get("model") in kinds else 0,
                 STATES[line["state"]],
                 float(line.get("capacity_hint") or 0.0),
+                _started_ms(line.get("boot_ms")),
             ),
             parse_address(line["endpoint"]),
         )
@@ -56,6 +58,11 @@
     ]
 
 
+def _started_ms(listed: object) -> float:
+    """Returns when an endpoint started; 0, long ago, where the list does not tell."""
+    return float(listed) if type(listed) in (int, float) and 0 <= listed <= MAX_STARTED_MS else 0.0
+
+
 class Watch:
     """Keeps a watch on the list of endpoints and requests it again whenever it ends or falls silent.
 
