A document is digested only where its id is known; refusals close at an end

Cause: since every document was digested before it was accepted, to look for a refusal of the same content; and the refusal of an id of another open request did not say that the connection closes while clients are sent away.

Change: refusals are found by id, and contents are compared only then; they are a typed record now. The answer says that the connection closes.

--- a/birchstack/net/front.py
+++ b/birchstack/net/front.py
@@ -223,7 +223,7 @@
             self._responses.append(request)
             if self._server.is_preceded(request):
                 self._server.count("id of another open request")
-                request.reply(UNAVAILABLE)
+                request.reply(UNAVAILABLE, close=self._server.ending)
             else:
                 self._server.on_document(request)
         elif request.path not in READY_PATHS:
--- a/birchstack/net/sender.py
+++ b/birchstack/net/sender.py
@@ -11,6 +11,7 @@
 import functools
 import logging
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from birchstack import interface
 from birchstack.decide import NEVER_RAN, Sender
@@ -54,6 +55,15 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """How a document was refused; content: its digest."""
+
+    content: str
+    verdict: str
+    wait_ms: float
+
+
 def _content_of(request: ClientRequest) -> str:
     return content.digest(request.type, request.destination, request.key, request.body)
 
@@ -124,7 +134,7 @@
         self._pending: dict[str, ClientRequest] = {}  # documents submitted during this turn, not answered yet
         self._starting: dict[str, Call] = {}  # calls to start at the end of this turn
         self._connected: list[Call] = []  # calls whose connection is established, to write at the turn's end
-        self._refusals: dict[tuple[str, str], tuple[str, float]] = {}  # by id and content, for repeats
+        self._refusals: dict[str, Refusal] = {}  # by document id, for ids that are submitted again
         self._by_hand = AdministrativeStates(folder, self._lasting.ms)
         self._recollection = self._load_recollection() if self._holds_lock else None
         self._tally = Tally()
@@ -467,9 +477,9 @@
             request.reply(UNAVAILABLE)  # the client does not read it, and the document was not accepted
         elif (known := self._known_content(request.id)) is not None:
             self._answer_repeat(request, known)
-        elif refusal := self._refusals.get((request.id, _content_of(request))):
+        elif (refusal := self._refusals.get(request.id)) and refusal.content == _content_of(request):
             log_debug(log, "submitted again", doc=request.id, refused=True)
-            request.reply(*refusal)
+            request.reply(refusal.verdict, refusal.wait_ms)
         elif self._must_refuse(request):
             self._answer(request, UNAVAILABLE, advice_ms)
         elif self._overflow and (verdict := self._overflow.admit(now, request, age, advice_ms)):
@@ -527,7 +537,7 @@
         request.reply(verdict, wait_ms, close=self._client_server.ending)
 
     def _remember_refusal(self, request: ClientRequest, verdict: str, wait_ms: float) -> None:
-        self._refusals[request.id, _content_of(request)] = verdict, wait_ms
+        self._refusals[request.id] = Refusal(_content_of(request), verdict, wait_ms)
         if len(self._refusals) > MAX_REMEMBERED_REFUSALS:
             del self._refusals[next(iter(self._refusals))]
 
